--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -142,6 +142,7 @@
 } from './requests/forwarded-headers.js';
 export {
 	judgeAnswer,
+	type AnswerHead,
 	type AnswerHeaders,
 	type Judgement,
 } from './requests/answer-head.js';
@@ -238,3 +239,25 @@
 } from './limits/meter.js';
 export {terms, type Terms} from './limits/terms.js';
 export {waterFill} from './limits/water-fill.js';
+export {
+	maxKey,
+	rangeOf,
+	type KeyRange,
+	type RangeTable,
+} from './gateway/key-range.js';
+export {moved, planKeys, without, type KeyMove} from './gateway/key-plan.js';
+export {isSameRun, type ListedServer} from './gateway/listed-server.js';
+export {
+	type CallerLimits,
+	type Part,
+	type Repeatability,
+	type RoutedService,
+	type RouteRule,
+	type RoutingConfig,
+} from './gateway/route-rule.js';
+export {drawService, RouteTable} from './gateway/route-table.js';
+export {
+	ServerLoads,
+	type Occupancy,
+	type SendingEnd,
+} from './gateway/server-loads.js';
--- /dev/null
+++ b/packages/core/test/gateway/gateway.test.ts
@@ -0,0 +1,210 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {
+	drawService,
+	maxKey,
+	moved,
+	planKeys,
+	rangeOf,
+	RouteTable,
+	SeededRandom,
+	ServerLoads,
+	type ListedServer,
+	type RangeTable,
+	type RouteRule,
+} from '../../src/index.js';
+
+function server(backendServer: string, startedAt = 1): ListedServer {
+	return {
+		backendServer,
+		startedAt,
+		service: 's',
+		address: `${backendServer}:80`,
+		failureDomain: 'a',
+		slots: 3,
+		draining: false,
+		coldMs: 0,
+	};
+}
+
+function rule(pathPrefix: string, parts = [{service: 's', weight: 1}]) {
+	const made: RouteRule = {
+		route: pathPrefix,
+		host: 'shop.example',
+		pathPrefix,
+		repeatability: 'safe',
+		timeoutMs: 1000,
+		targetMs: 100,
+		priority: 0,
+		maxAttempts: 2,
+		parts,
+	};
+	return made;
+}
+
+const empty: RangeTable = {service: 's', nextFence: 1, ranges: []};
+
+function planned(table: RangeTable, servers: readonly ListedServer[]) {
+	let next = table;
+	for (const move of planKeys(table, servers)) {
+		next = moved(next, move);
+	}
+
+	return next;
+}
+
+function held({ranges}: RangeTable): ReadonlyMap<string, number> {
+	const sums = new Map<string, number>();
+	for (const {owner, from, to} of ranges) {
+		sums.set(owner, (sums.get(owner) ?? 0) + to - from + 1);
+	}
+
+	return sums;
+}
+
+test('the longest prefix of a host wins, whatever the case and port of the host', (t) => {
+	const table = new RouteTable({
+		version: 1,
+		rules: [rule('/a/'), rule('/a/b/'), rule('/c/')],
+		services: [],
+		limits: {headerLen: 1, bodyLen: 1, headerMs: 1, idleMs: 1},
+	});
+	t.is(table.rule('Shop.Example:80', '/a/b/c')?.pathPrefix, '/a/b/');
+	t.is(table.rule('shop.example', '/a/x?y=/a/b/')?.pathPrefix, '/a/');
+	t.is(table.rule('shop.example', '/a'), undefined);
+	t.is(table.rule('other.example', '/a/'), undefined);
+});
+
+test('the parts of a route get requests by their weights', (t) => {
+	const parts = [
+		{service: 's', weight: 90},
+		{service: 'none', weight: 0},
+		{service: 't', weight: 10},
+	];
+	const random = new SeededRandom(7);
+	const draws = Array.from({length: 5000}, () =>
+		drawService(rule('/', parts), random),
+	);
+	const share = draws.filter((service) => service === 't').length / 5000;
+	t.true(share > 0.08 && share < 0.12, `${share}`);
+	t.false(draws.includes('none'));
+});
+
+test('all keys are held whoever comes and goes, evenly at first, and fences only rise', (t) => {
+	const step = fc.record({
+		server: fc.nat(7),
+		kind: fc.constantFrom('come', 'go', 'restart'),
+	});
+	fc.assert(
+		fc.property(fc.array(step, {maxLength: 12}), (steps) => {
+			let servers = [server('s0'), server('s1'), server('s2')];
+			let table = planned(empty, servers);
+			const counts = [...held(table).values()];
+			t.true(Math.max(...counts) - Math.min(...counts) <= servers.length);
+			for (const [index, {kind, server: which}] of steps.entries()) {
+				const name = `s${which}`;
+				const rest = servers.filter((one) => one.backendServer !== name);
+				const isThere = rest.length < servers.length;
+				if (kind === 'go' && rest.length > 0) {
+					servers = rest;
+				} else if (isThere === (kind === 'restart')) {
+					servers = [...rest, server(name, index + 2)];
+				}
+
+				const before = table;
+				table = planned(table, servers);
+				let next = 0;
+				for (const range of table.ranges) {
+					t.is(range.from, next);
+					next = range.to + 1;
+					const owner = servers.find(
+						({backendServer, startedAt}) =>
+							backendServer === range.owner &&
+							startedAt === range.ownerStartedAt,
+					);
+					t.truthy(owner);
+					const former = rangeOf(before, range.from)!;
+					t.true(
+						former.owner === range.owner &&
+							former.ownerStartedAt === range.ownerStartedAt
+							? range.fence >= former.fence
+							: range.fence > former.fence,
+					);
+				}
+
+				t.is(next, maxKey + 1);
+			}
+		}),
+		{numRuns: 60},
+	);
+});
+
+test('a loss moves only the keys of the server that is gone', (t) => {
+	const servers = ['s0', 's1', 's2', 's3'].map((name) => server(name));
+	const table = planned(empty, servers);
+	const lost = servers.slice(1);
+	for (const {holder} of planKeys(table, lost)) {
+		t.is(holder?.owner, 's0');
+	}
+});
+
+test('a new server gets its part of the keys', (t) => {
+	const servers = ['s0', 's1', 's2', 's3'].map((name) => server(name));
+	const table = planned(empty, servers.slice(1));
+	const after = planned(table, servers);
+	const part = held(after).get('s0')! / (maxKey + 1);
+	t.true(part > 0.2 && part <= 0.25, `${part}`);
+	t.deepEqual(planKeys(after, servers), []);
+});
+
+test('with no server left the table stays, since a server may come back', (t) => {
+	const table = planned(empty, [server('s0')]);
+	t.deepEqual(planKeys(table, []), []);
+});
+
+test('the least busy server is chosen, and none once all are full', (t) => {
+	const loads = new ServerLoads(new SeededRandom(1));
+	const servers = [server('a'), server('b')];
+	loads.sent('a');
+	t.is(loads.choose(servers, 0)?.backendServer, 'b');
+	for (let count = 0; count < 6; count++) {
+		loads.sent('a');
+		loads.sent('b');
+	}
+
+	t.is(loads.choose(servers, 0), undefined);
+	loads.ended('b', 'answered', 1);
+	t.is(loads.choose(servers, 1)?.backendServer, 'b');
+});
+
+test('what a server reports of other daemons counts for a while', (t) => {
+	const loads = new ServerLoads(new SeededRandom(1));
+	const servers = [server('a'), server('b')];
+	loads.sent('a');
+	loads.reported('a', {running: 3, waiting: 2}, 0);
+	loads.ended('a', 'answered', 0);
+	loads.sent('b');
+	t.is(loads.choose(servers, 10)?.backendServer, 'b');
+	t.is(loads.choose(servers, 2000)?.backendServer, 'a');
+});
+
+test('a server that lost a request is tried last for a while', (t) => {
+	const loads = new ServerLoads(new SeededRandom(1));
+	const servers = [server('a'), server('b')];
+	loads.sent('a');
+	loads.ended('a', 'lost', 0);
+	loads.sent('b');
+	t.is(loads.choose(servers, 100)?.backendServer, 'b');
+	t.is(loads.choose([servers[0]], 100)?.backendServer, 'a');
+	t.is(loads.choose(servers, 3000)?.backendServer, 'a');
+});
+
+test('a cold server gets no more than its rate, from the first request on', (t) => {
+	const loads = new ServerLoads(new SeededRandom(1));
+	let taken = 0;
+	for (let now = 0; now <= 10_000; now += 10) {
+		taken += loads.takeCold('a', 0.5, now) ? 1 : 0;
+	}
+
+	t.true(taken >= 4 && taken <= 5, `${taken}`);
+});
--- /dev/null
+++ b/packages/daemon/src/gateway/keeper-lease.ts
@@ -0,0 +1,122 @@
+/**
+ * The lease under which one daemon alone gives orders about a service's keys: an
+ * object in the platform's store that its holder changes at every beat. Another
+ * daemon takes it once it has seen no change for longer than a lease lasts.
+ */
+import {fold, type Clock, type Millis} from '@kingcuproute/core';
+import {
+	keepersKind,
+	parseKeeper,
+	type ObjectStore,
+	type StoredObject,
+} from '@kingcuproute/platform';
+
+/** A third of the lease: two beats may be lost. */
+const beatMs: Millis = 1000;
+/** From the sending of a beat that the store took. */
+const leaseMs: Millis = 3000;
+/** Beyond the lease, before another daemon takes it: clocks that run apart by 2% and late timers. */
+const marginMs: Millis = 600;
+/** A jump of the wall clock against the steady one beyond this means that the VM may have stood still. */
+const stoppedMs: Millis = 150;
+
+export class KeeperLease {
+	#held: StoredObject | undefined;
+	#changedAt: Millis;
+	#until: Millis = -Infinity;
+	#beatAt: Millis = -Infinity;
+	#writing = false;
+	#wallLead: Millis;
+
+	constructor(
+		private readonly service: string,
+		private readonly vm: string,
+		private readonly store: ObjectStore,
+		private readonly clock: Clock,
+	) {
+		this.#changedAt = clock.now();
+		this.#wallLead = clock.wall() - clock.now();
+	}
+
+	/** Whether an order that is sent now is under the lease. */
+	get isHeld(): boolean {
+		this.#distrustAfterStop();
+		return this.clock.now() < this.#until;
+	}
+
+	/** Takes in the lease's object as the store has it; undefined while there is none. */
+	heard(object: StoredObject | undefined): void {
+		if ((object?.revision ?? 0) > (this.#held?.revision ?? 0)) {
+			this.#held = object;
+			this.#changedAt = this.clock.now();
+		}
+	}
+
+	/** Beats, or takes a lease that has lapsed; to be called every 100 ms or so. Tells whether it was taken just now. */
+	async tend(): Promise<boolean> {
+		const now = this.clock.now();
+		const mayBeat = now - this.#beatAt >= beatMs;
+		if (this.#writing || !mayBeat || !(this.isHeld || this.#isFree(now))) {
+			return false;
+		}
+
+		const wasHeld = this.isHeld;
+		await this.#beat(this.vm);
+		return !wasHeld && this.isHeld;
+	}
+
+	/** Gives the lease up, so that another daemon need not wait it out. */
+	async standDown(): Promise<void> {
+		if (this.isHeld) {
+			this.#until = -Infinity;
+			await this.#beat('');
+		}
+	}
+
+	async #beat(vm: string): Promise<void> {
+		const sentAt = this.clock.now();
+		this.#beatAt = sentAt;
+		this.#writing = true;
+		const written = await this.store.write({
+			kind: keepersKind,
+			name: this.service,
+			revision: this.#held?.revision,
+			spec: {vm, beat: Math.round(this.clock.wall())},
+		});
+		this.#writing = false;
+		fold(
+			written,
+			(error) => {
+				if (error.kind === 'conflict') {
+					this.#until = -Infinity;
+					this.heard(error.held);
+				}
+			},
+			(object) => {
+				this.heard(object);
+				this.#until = vm === '' ? -Infinity : sentAt + leaseMs;
+			},
+		);
+	}
+
+	#isFree(now: Millis): boolean {
+		if (!this.#held) {
+			return true;
+		}
+
+		const stoodDown = parseKeeper(this.#held.spec)
+			.map(({vm}) => vm === '')
+			.orDefault(false);
+		return stoodDown || now - this.#changedAt > leaseMs + marginMs;
+	}
+
+	#distrustAfterStop(): void {
+		const lead = this.clock.wall() - this.clock.now();
+		if (Math.abs(lead - this.#wallLead) > stoppedMs) {
+			this.#until = -Infinity;
+			this.#changedAt = this.clock.now();
+		}
+
+		this.#wallLead = lead;
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/keepers-task.ts
@@ -0,0 +1,111 @@
+/** Runs a keeper for each service divided by key. */
+import {type Clock, type Random} from '@kingcuproute/core';
+import {
+	daemonsKind,
+	keepersKind,
+	type Deployment,
+	type KeyOrders,
+	type ObjectStore,
+} from '@kingcuproute/platform';
+import {inject, singleton} from 'tsyringe';
+import {Log} from '../log/log.js';
+import {Task} from '../task/task.js';
+import {KeeperLease} from './keeper-lease.js';
+import {KeyKeeper} from './key-keeper.js';
+import {KindFollower} from './kind-follower.js';
+import {ViewTask} from './view-task.js';
+
+type Kept = {readonly lease: KeeperLease; readonly keeper: KeyKeeper};
+
+@singleton()
+export class KeepersTask extends Task {
+	readonly #keepers = new Map<string, Kept>();
+	readonly #leases: KindFollower;
+
+	constructor(
+		@inject(ViewTask) private readonly view: ViewTask,
+		@inject('Store') private readonly store: ObjectStore,
+		@inject('KeyOrders') private readonly orders: KeyOrders,
+		@inject('Deployment') private readonly deployment: Deployment,
+		@inject('Clock') private readonly clock: Clock,
+		@inject('Random') random: Random,
+		@inject(Log) private readonly log: Log,
+	) {
+		super();
+		this.#leases = new KindFollower(keepersKind, {
+			store,
+			clock,
+			random,
+			log,
+		});
+	}
+
+	override async start(): Promise<void> {
+		this.#leases.objects.subscribe((objects) => {
+			for (const [service, {lease}] of this.#keepers) {
+				lease.heard(objects?.get(service));
+			}
+		});
+		this.view.rangeTableObjects.objects.subscribe((objects) => {
+			for (const [service, {keeper}] of this.#keepers) {
+				keeper.heard(objects?.get(service));
+			}
+		});
+		this.view.view.subscribe(() => {
+			this.#follow();
+		});
+		this.#leases.start();
+		await this.store.write({
+			kind: daemonsKind,
+			name: this.deployment.vm,
+			revision: undefined,
+			spec: {failureDomain: this.deployment.failureDomain},
+		});
+	}
+
+	override async stop(): Promise<void> {
+		this.#leases.stop();
+		await Promise.all([
+			this.store.remove(daemonsKind, this.deployment.vm),
+			...[...this.#keepers.values()].map(async ({keeper}) => keeper.stop()),
+		]);
+	}
+
+	#follow(): void {
+		const {routes, servers} = this.view.view.value;
+		if (!routes || !servers || !this.#leases.objects.value) {
+			return;
+		}
+
+		for (const {service, keyed} of routes.config.services) {
+			if (keyed && !this.#keepers.has(service)) {
+				this.#keep(service);
+			}
+		}
+	}
+
+	#keep(service: string): void {
+		const {store, orders, clock, log, view} = this;
+		const listed = () =>
+			(view.view.value.servers ?? []).filter((one) => one.service === service);
+		const lease = new KeeperLease(service, this.deployment.vm, store, clock);
+		const keeper = new KeyKeeper({
+			service,
+			lease,
+			store,
+			orders,
+			clock,
+			log,
+			listed,
+			servers: () =>
+				listed().filter(
+					({draining, failureDomain}) =>
+						!draining && !view.view.value.evacuated.has(failureDomain),
+				),
+		});
+		lease.heard(this.#leases.objects.value?.get(service));
+		keeper.heard(view.rangeTableObjects.objects.value?.get(service));
+		this.#keepers.set(service, {lease, keeper});
+		keeper.start();
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/request-end.ts
@@ -0,0 +1,60 @@
+/** What a caller is told in place of a backend server's answer. */
+import {type ServerResponse} from 'node:http';
+import {type Millis} from '@kingcuproute/core';
+
+/** Why a request is refused, or fails. */
+export type Reason =
+	| 'no-config'
+	| 'no-route'
+	| 'bad-request'
+	| 'too-large'
+	| 'no-server'
+	| 'no-owner'
+	| 'overloaded'
+	| 'declined'
+	| 'lost'
+	| 'timeout';
+
+/** A promise that the request did not run and never will, or nothing of the kind. */
+export type RequestEnd = {
+	readonly reason: Reason;
+	readonly notRun: boolean;
+	readonly retryAfterMs?: Millis;
+};
+
+const secondMs: Millis = 1000;
+
+const notRunStatuses: Readonly<Partial<Record<Reason, number>>> = {
+	'no-route': 404,
+	'bad-request': 400,
+	'too-large': 413,
+};
+const unavailableStatus = 503;
+const badGatewayStatus = 502;
+const timeoutStatus = 504;
+
+/** The status by which callers know whether they may send the request again. */
+export function statusOf({reason, notRun}: RequestEnd): number {
+	if (notRun) {
+		return notRunStatuses[reason] ?? unavailableStatus;
+	}
+
+	return reason === 'timeout' ? timeoutStatus : badGatewayStatus;
+}
+
+/** Answers the caller; an answer already begun is cut, so that nobody takes it for whole. */
+export function sendEnd(res: ServerResponse, end: RequestEnd): void {
+	if (res.headersSent) {
+		res.destroy();
+		return;
+	}
+
+	const {reason, retryAfterMs} = end;
+	const headers: Record<string, string> = {'content-type': 'application/json'};
+	if (end.notRun && retryAfterMs !== undefined) {
+		headers['retry-after'] = (retryAfterMs / secondMs).toFixed(3);
+	}
+
+	res.writeHead(statusOf(end), headers);
+	res.end(JSON.stringify({reason, notRun: end.notRun}));
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/view-task.ts
@@ -0,0 +1,182 @@
+/** What the daemon knows from the platform's store: routes, backend servers, domains out of service, key tables. */
+import {
+	fold,
+	RouteTable,
+	type Checked,
+	type Clock,
+	type Fault,
+	type RangeTable,
+	type ListedServer,
+	type Random,
+} from '@kingcuproute/core';
+import {
+	configKind,
+	configName,
+	daemonsKind,
+	evacuationsKind,
+	rangeTablesKind,
+	parseRangeTable,
+	parseListedServer,
+	parseRoutingConfig,
+	serversKind,
+	type ObjectStore,
+	type StoredObject,
+} from '@kingcuproute/platform';
+import {inject, singleton} from 'tsyringe';
+import {Log} from '../log/log.js';
+import {Task} from '../task/task.js';
+import {Topic} from '../task/topic.js';
+import {KindFollower, type Objects} from './kind-follower.js';
+
+/** Everything that routing reads, as of the newest change. */
+export type GatewayView = {
+	readonly routes: RouteTable | undefined;
+	/** Undefined until they were read once. */
+	readonly servers: readonly ListedServer[] | undefined;
+	readonly evacuated: ReadonlySet<string>;
+	readonly rangeTables: ReadonlyMap<string, RangeTable>;
+	/** Daemons that share the backend servers; at least one. */
+	readonly daemons: number;
+};
+
+const nothing: GatewayView = {
+	routes: undefined,
+	servers: undefined,
+	evacuated: new Set(),
+	rangeTables: new Map(),
+	daemons: 1,
+};
+
+@singleton()
+export class ViewTask extends Task {
+	readonly view = new Topic<GatewayView>(nothing);
+	readonly rangeTableObjects: KindFollower;
+	readonly #followers: readonly KindFollower[];
+	/** Object and revision of what could not be read, so that each is logged once. */
+	readonly #unreadable = new Map<string, number>();
+
+	constructor(
+		@inject('Store') store: ObjectStore,
+		@inject('Clock') clock: Clock,
+		@inject('Random') random: Random,
+		@inject(Log) private readonly log: Log,
+	) {
+		super();
+		const follow = (kind: string) =>
+			new KindFollower(kind, {store, clock, random, log});
+		const [config, servers, evacuations, rangeTables, daemons] = [
+			configKind,
+			serversKind,
+			evacuationsKind,
+			rangeTablesKind,
+			daemonsKind,
+		].map((kind) => follow(kind));
+		this.rangeTableObjects = rangeTables;
+		this.#followers = [config, servers, evacuations, rangeTables, daemons];
+		config.objects.subscribe((objects) => {
+			this.#configure(objects);
+		});
+		servers.objects.subscribe((objects) => {
+			this.#set({servers: this.#read(serversKind, objects, parseListedServer)});
+		});
+		evacuations.objects.subscribe((objects) => {
+			this.#evacuate(new Set(objects?.keys()));
+		});
+		rangeTables.objects.subscribe((objects) => {
+			const tables = this.#read(rangeTablesKind, objects, ({spec}) =>
+				parseRangeTable(spec),
+			);
+			this.#set({
+				rangeTables: new Map(tables.map((table) => [table.service, table])),
+			});
+		});
+		daemons.objects.subscribe((objects) => {
+			this.#set({daemons: Math.max(1, objects?.size ?? 1)});
+		});
+	}
+
+	override async start(): Promise<void> {
+		for (const follower of this.#followers) {
+			follower.start();
+		}
+	}
+
+	override async stop(): Promise<void> {
+		for (const follower of this.#followers) {
+			follower.stop();
+		}
+	}
+
+	#configure(objects: Objects | undefined): void {
+		const held = objects?.get(configName);
+		if (!held) {
+			return;
+		}
+
+		fold(
+			parseRoutingConfig(held.spec),
+			(faults) => {
+				this.#complain(configKind, held, faults);
+			},
+			(config) => {
+				const {routes} = this.view.value;
+				if (routes && config.version <= routes.config.version) {
+					return;
+				}
+
+				const {version, rules} = config;
+				const {revision} = held;
+				this.log.info('config-in-force', {
+					version,
+					revision,
+					routes: rules.length,
+				});
+				this.#set({routes: new RouteTable(config)});
+			},
+		);
+	}
+
+	#evacuate(evacuated: ReadonlySet<string>): void {
+		const failureDomains = [...evacuated].join(',');
+		this.log.info('domains-out', {failureDomains});
+		this.#set({evacuated});
+	}
+
+	#read<T>(
+		kind: string,
+		objects: Objects | undefined,
+		parse: (object: StoredObject) => Checked<T>,
+	): T[] {
+		const values: T[] = [];
+		for (const object of objects?.values() ?? []) {
+			fold(
+				parse(object),
+				(faults) => {
+					this.#complain(kind, object, faults);
+				},
+				(value) => {
+					values.push(value);
+				},
+			);
+		}
+
+		return values;
+	}
+
+	#complain(
+		kind: string,
+		{name, revision}: StoredObject,
+		faults: readonly Fault[],
+	): void {
+		const object = `${kind}/${name}`;
+		if (this.#unreadable.get(object) !== revision) {
+			this.#unreadable.set(object, revision);
+			const [{path, message}] = faults;
+			this.log.warn('object-unreadable', {object, revision, path, message});
+		}
+	}
+
+	#set(news: Partial<GatewayView>): void {
+		this.view.publish({...this.view.value, ...news});
+	}
+}
--- a/packages/daemon/src/requests/attempt.ts
+++ b/packages/daemon/src/requests/attempt.ts
@@ -9,10 +9,11 @@
 import {type ServerResponse} from 'node:http';
 import {
 	forwardedHeaders,
-	judgeAnswer,
+	type AnswerHead,
 	type AttemptEnd,
 	type Cancel,
 	type Clock,
+	type Judgement,
 	type Millis,
 } from '@kingcuproute/core';
 import {type Dispatcher} from 'undici';
@@ -20,7 +21,6 @@
 
 /** What is sent, and within which bounds. */
 export type AttemptPlan = {
-	readonly id: string;
 	readonly method: string;
 	readonly path: string;
 	/** Name, value, name, value. */
@@ -34,6 +34,10 @@
 	readonly holdLen: number;
 	/** Takes the caller for this attempt's answer; false when another attempt has it. */
 	readonly claim: () => boolean;
+	/** Says what may be done with an answer. */
+	readonly judge: (head: AnswerHead) => Judgement;
+	/** Fields that the caller gets beside the server's: name, value, name, value. */
+	readonly added: readonly string[];
 };
 
 export class Attempt implements Dispatcher.DispatchHandler {
@@ -105,8 +109,8 @@
 		}
 
 		this.latencyMs = this.clock.now() - this.#handedAt;
-		const {id, method, holdLen} = this.plan;
-		const judgement = judgeAnswer(id, method, {status, headers});
+		const {holdLen, judge} = this.plan;
+		const judgement = judge({status, headers});
 		switch (judgement.kind) {
 			case 'unusable': {
 				this.#lose(judgement.message);
@@ -191,11 +195,7 @@
 	}
 
 	#writeHead(): void {
-		this.res.writeHead(this.#status, [
-			...this.#headers,
-			'x-kingcup-request-id',
-			this.plan.id,
-		]);
+		this.res.writeHead(this.#status, [...this.#headers, ...this.plan.added]);
 	}
 
 	#awaitCaller(controller: Dispatcher.DispatchController): void {
--- a/packages/daemon/src/requests/entry-server.ts
+++ b/packages/daemon/src/requests/entry-server.ts
@@ -21,9 +21,15 @@
 	['ERR_HTTP_REQUEST_TIMEOUT', '408 Request Timeout'],
 ]);
 
+/** Bounds of callers' connections. */
+export type EntryBounds = Pick<
+	Settings['requests'],
+	'maxHeaderLen' | 'headerMs' | 'requestMs' | 'callerIdleMs'
+>;
+
 /** A listener that hands each well-framed request to `take`. */
 export function entryServer(
-	settings: Settings['requests'],
+	settings: EntryBounds,
 	take: RequestListener,
 ): Server {
 	const busy = new WeakMap<Duplex, IncomingMessage>();
--- a/packages/daemon/src/requests/server-attempt.ts
+++ b/packages/daemon/src/requests/server-attempt.ts
@@ -5,6 +5,7 @@
 import {
 	deadlineField,
 	forwardedHeaders,
+	judgeAnswer,
 	type AttemptEnd,
 	type BackendServer,
 	type Millis,
@@ -73,10 +74,10 @@
 		const {id, req, res} = this.asked;
 		const {answerIdleMs, replayLen} = settings.requests;
 		const {timeoutMs} = this.plan;
+		const method = req.method ?? 'GET';
 		return new Attempt(
 			{
-				id,
-				method: req.method ?? 'GET',
+				method,
 				path: req.url ?? '/',
 				headers: this.#headers(),
 				body: this.admitted.body.source(),
@@ -84,6 +85,8 @@
 				idleMs: answerIdleMs,
 				holdLen: replayLen,
 				claim: () => this.plan.claim(this),
+				judge: (head) => judgeAnswer(id, method, head),
+				added: ['x-kingcup-request-id', id],
 			},
 			res,
 			clock,
--- a/packages/daemon/src/requests/server-connections.ts
+++ b/packages/daemon/src/requests/server-connections.ts
@@ -13,6 +13,12 @@
 const tcpKeepAliveMs: Millis = 1000;
 const closeThresholdMs: Millis = 500;
 
+/** Bounds of connections to backend servers. */
+export type ConnectionBounds = Pick<
+	Settings['requests'],
+	'maxConnections' | 'connectMs' | 'serverIdleMs' | 'maxHeaderLen'
+>;
+
 type Generation = {
 	readonly pool: Pool;
 	readonly openedAt: Millis;
@@ -24,7 +30,7 @@
 	readonly #generations = new Map<string, Generation>();
 
 	constructor(
-		private readonly settings: Settings['requests'],
+		private readonly settings: ConnectionBounds,
 		private readonly clock: Clock,
 	) {}
 
--- /dev/null
+++ b/packages/daemon/test/gateway-keeper.test.ts
@@ -0,0 +1,275 @@
+import test from 'ava';
+import {
+	type KeyRange,
+	type ListedServer,
+	type Millis,
+} from '@kingcuproute/core';
+import {
+	KeyOrders,
+	ObjectStore,
+	type ObjectError,
+	type ObjectWrite,
+	type OrderEnd,
+	type StoredObject,
+} from '@kingcuproute/platform';
+import {Left, Right, type Either} from 'purify-ts';
+import {KeeperLease} from '../src/gateway/keeper-lease.js';
+import {KeyKeeper} from '../src/gateway/key-keeper.js';
+import {Log} from '../src/log/log.js';
+import {Timers} from './timers.js';
+
+type Rev = {readonly revision: number; readonly spec: unknown};
+
+/** Objects in memory, with conditional writes; a watch is replaced by calls of `heard`. */
+class MemoryStore extends ObjectStore {
+	readonly objects = new Map<string, Rev>();
+	/** Daemons that do not reach the store. */
+	readonly cut = new Set<string>();
+	#revision = 1;
+
+	constructor(
+		private readonly vm: string,
+		private readonly shared?: MemoryStore,
+	) {
+		super();
+	}
+
+	override async list(kind: string) {
+		const objects = [...this.#all()]
+			.filter(([path]) => path.startsWith(`${kind}/`))
+			.map(([path, held]) => stored(path, held));
+		return Right({revision: 0, objects});
+	}
+
+	override async watch(): Promise<Either<ObjectError, never>> {
+		return Left({kind: 'expired'});
+	}
+
+	override async write({kind, name, revision, spec}: ObjectWrite) {
+		const owner = this.shared ?? this;
+		if (owner.cut.has(this.vm)) {
+			return Left<ObjectError>({kind: 'unknown', message: 'cut off'});
+		}
+
+		const path = `${kind}/${name}`;
+		const held = owner.objects.get(path);
+		if (held?.revision !== revision) {
+			return Left<ObjectError>({
+				kind: 'conflict',
+				held: held && stored(path, held),
+			});
+		}
+
+		owner.#revision++;
+		const next = {revision: owner.#revision, spec};
+		owner.objects.set(path, next);
+		return Right(stored(path, next));
+	}
+
+	override async remove() {
+		return Right(undefined);
+	}
+
+	#all() {
+		return (this.shared ?? this).objects;
+	}
+}
+
+function stored(path: string, {revision, spec}: Rev): StoredObject {
+	const name = path.slice(path.indexOf('/') + 1);
+	return {name, revision, spec, status: undefined, rest: {}};
+}
+
+type Hold = Pick<KeyRange, 'from' | 'to' | 'fence'> & {readonly until: Millis};
+
+/** Backend servers that keep what they are granted; a silent one answers nothing and keeps its leases. */
+class HoldingServers extends KeyOrders {
+	readonly holds = new Map<string, Hold[]>();
+	readonly silent = new Set<string>();
+
+	constructor(private readonly timers: Timers) {
+		super();
+	}
+
+	override async grant(
+		address: string,
+		{from, to, fence, leaseMs}: Parameters<KeyOrders['grant']>[1],
+		timeoutMs: Millis,
+	): Promise<OrderEnd> {
+		if (this.silent.has(address)) {
+			await this.timers.sleep(timeoutMs);
+			return {kind: 'unknown', message: 'no answer'};
+		}
+
+		const rest = this.#rest(address, from, to);
+		const until = this.timers.now() + leaseMs;
+		this.holds.set(address, [...rest, {from, to, fence, until}]);
+		return {kind: 'taken', handover: undefined};
+	}
+
+	override async release(
+		address: string,
+		{from, to}: Parameters<KeyOrders['release']>[1],
+		timeoutMs: Millis,
+	): Promise<OrderEnd> {
+		if (this.silent.has(address)) {
+			await this.timers.sleep(timeoutMs);
+			return {kind: 'unknown', message: 'no answer'};
+		}
+
+		this.holds.set(address, this.#rest(address, from, to));
+		return {kind: 'taken', handover: `from ${address}`};
+	}
+
+	/** Servers that hold `key` now. */
+	holding(key: number): readonly string[] {
+		const now = this.timers.now();
+		return [...this.holds]
+			.filter(([, holds]) =>
+				holds.some(
+					({from, to, until}) => from <= key && key <= to && now < until,
+				),
+			)
+			.map(([address]) => address);
+	}
+
+	#rest(address: string, from: number, to: number): Hold[] {
+		return (this.holds.get(address) ?? []).flatMap((hold) =>
+			to < hold.from || from > hold.to
+				? [hold]
+				: [
+						{...hold, to: from - 1},
+						{...hold, from: to + 1},
+					].filter((part) => part.from <= part.to),
+		);
+	}
+}
+
+function server(backendServer: string): ListedServer {
+	return {
+		backendServer,
+		startedAt: 1,
+		service: 's',
+		address: backendServer,
+		failureDomain: 'a',
+		slots: 3,
+		draining: false,
+		coldMs: 0,
+	};
+}
+
+/** Daemons that keep the keys of one service of `servers`, each told what the store holds. */
+function fleet(vms: readonly string[], names: readonly string[]) {
+	const timers = new Timers();
+	const shared = new MemoryStore('');
+	const orders = new HoldingServers(timers);
+	let servers = names.map((name) => server(name));
+	const log = Log.to({level: 'silent', routingSample: 1}, {});
+	const daemons = vms.map((vm) => {
+		const store = new MemoryStore(vm, shared);
+		const lease = new KeeperLease('s', vm, store, timers);
+		const keeper = new KeyKeeper({
+			service: 's',
+			lease,
+			store,
+			orders,
+			clock: timers,
+			log,
+			servers: () => servers,
+			listed: () => servers,
+		});
+		keeper.start();
+		return {vm, lease, keeper};
+	});
+	const tell = () => {
+		for (const {vm, lease, keeper} of daemons) {
+			if (!shared.cut.has(vm)) {
+				lease.heard(held('kingcuproute-keepers/s'));
+				keeper.heard(held('kingcuproute-range-tables/s'));
+			}
+		}
+	};
+
+	const held = (path: string) => {
+		const found = shared.objects.get(path);
+		return found && stored(path, found);
+	};
+
+	return {
+		timers,
+		orders,
+		daemons,
+		cut: shared.cut,
+		list(next: readonly string[]) {
+			servers = next.map((name) => server(name));
+		},
+		/** Lets time pass and checks at each step what must always hold. */
+		async pass(ms: Millis, check: () => void) {
+			for (let passed = 0; passed < ms; passed += 50) {
+				await timers.pass(50);
+				tell();
+				check();
+			}
+		},
+	};
+}
+
+const someKeys = [0, 1, 20_000, 33_000, 50_000, 65_535];
+
+test('one daemon keeps the keys, and each key gets one holder', async (t) => {
+	const {orders, daemons, pass} = fleet(['x', 'y', 'z'], ['a', 'b']);
+	await pass(1500, () => {
+		t.true(daemons.filter(({lease}) => lease.isHeld).length <= 1);
+		t.true(someKeys.every((key) => orders.holding(key).length <= 1));
+	});
+	t.is(daemons.filter(({lease}) => lease.isHeld).length, 1);
+	t.true(someKeys.every((key) => orders.holding(key).length === 1));
+});
+
+test('a keeper that loses the store is followed by another, and no key goes unheld', async (t) => {
+	const {orders, daemons, pass, cut} = fleet(['x', 'y', 'z'], ['a', 'b']);
+	await pass(1500, () => undefined);
+	const first = daemons.find(({lease}) => lease.isHeld)!;
+	cut.add(first.vm);
+	await pass(8000, () => {
+		t.true(daemons.filter(({lease}) => lease.isHeld).length <= 1);
+		t.true(someKeys.every((key) => orders.holding(key).length === 1));
+	});
+	t.false(first.lease.isHeld);
+	t.is(daemons.filter(({lease}) => lease.isHeld).length, 1);
+});
+
+test('keys of a server that is silent and off the list wait until its lease is over', async (t) => {
+	const {orders, pass, list} = fleet(['x', 'y'], ['a', 'b']);
+	await pass(1500, () => undefined);
+	orders.silent.add('a');
+	list(['b']);
+	await pass(9000, () => {
+		t.true(someKeys.every((key) => orders.holding(key).length <= 1));
+	});
+	t.true(someKeys.every((key) => orders.holding(key)[0] === 'b'));
+});
+
+test('keys that go to a new server are never at two holders', async (t) => {
+	const {orders, pass, list} = fleet(['x', 'y'], ['a', 'b']);
+	await pass(1500, () => undefined);
+	list(['a', 'b', 'c']);
+	await pass(2000, () => {
+		t.true(someKeys.every((key) => orders.holding(key).length <= 1));
+	});
+	const served = new Set(someKeys.flatMap((key) => orders.holding(key)));
+	t.deepEqual([...served].sort(), ['a', 'b', 'c']);
+});
+
+test('a change of keeper while a server is lost leaves no key with two holders', async (t) => {
+	const {orders, daemons, pass, cut, list} = fleet(['x', 'y'], ['a', 'b', 'c']);
+	await pass(1500, () => undefined);
+	const first = daemons.find(({lease}) => lease.isHeld)!;
+	orders.silent.add('a');
+	cut.add(first.vm);
+	list(['b', 'c']);
+	await pass(16_000, () => {
+		t.true(someKeys.every((key) => orders.holding(key).length <= 1));
+	});
+	t.true(someKeys.every((key) => ['b', 'c'].includes(orders.holding(key)[0])));
+});
--- /dev/null
+++ b/packages/platform/src/deployment.ts
@@ -0,0 +1,177 @@
+/**
+ * The settings that the platform gives a process: lines of `path=value`. Fields
+ * that are not known here are passed over, since the platform adds some at will.
+ */
+import {
+	checked,
+	type Checked,
+	type Fault,
+	type Millis,
+} from '@kingcuproute/core';
+import {Left} from 'purify-ts';
+import {z} from 'zod';
+
+/** Names the environment variable that holds the path of the settings file. */
+export const settingsVariable = 'KINGCUPROUTE_BOOT';
+
+/** Host and port. */
+export type Address = {readonly host: string; readonly port: number};
+
+/** Where a process runs and what it may use. */
+export type Deployment = {
+	readonly vm: string;
+	readonly failureDomain: string;
+	readonly region: string;
+	readonly memoryLen: number;
+	readonly listen: {
+		/** For callers. */
+		readonly entry: Address;
+		/** Asked by the platform's balancer once a second. */
+		readonly readiness: Address;
+	};
+	readonly store: {
+		/** Host and port, in one word. */
+		readonly address: string;
+		/** Calls a second, of all daemons together. */
+		readonly writeRate: number;
+		readonly readRate: number;
+	};
+	/** How often backend servers report to the store. */
+	readonly serverReportMs: Millis;
+	readonly bounds: {
+		/** From SIGTERM to SIGKILL. */
+		readonly stopMs: Millis;
+		/** How long a lease on keys may be. */
+		readonly maxLeaseMs: Millis;
+		/** Sends beyond a request's first, as a share of the requests in `retryWindowMs`, over all daemons. */
+		readonly retryShare: number;
+		/** Sends beyond that share in `retryWindowMs`, over all daemons. */
+		readonly retrySlack: number;
+		readonly retryWindowMs: Millis;
+	};
+};
+
+const secondMs: Millis = 1000;
+const megabyteLen = 1_048_576;
+
+const numeric = z
+	.string()
+	.regex(/^\d+(\.\d+)?$/, 'expected a number')
+	.transform(Number);
+const address = z
+	.string()
+	.regex(/^[^:\s]+:\d{1,5}$/, 'expected HOST:PORT')
+	.transform((text): Address => {
+		const [host, port] = text.split(':');
+		return {host, port: Number(port)};
+	});
+
+/** A table whose missing fields are named one by one, also where all are missing. */
+function table<S extends z.ZodRawShape>(shape: S) {
+	return z.preprocess((value: unknown) => value ?? {}, z.object(shape));
+}
+
+const fields = table({
+	self: table({
+		node: z.string().min(1),
+		zone: z.string().min(1),
+		region: z.string().min(1),
+		limits: table({memoryMb: numeric}),
+	}),
+	network: table({listen: table({front: address, ready: address})}),
+	platform: table({
+		heartbeatMs: numeric,
+		platform: table({
+			addr: z.string().regex(/^[^:\s]+:\d{1,5}$/, 'expected HOST:PORT'),
+			writesPerS: numeric,
+			readsPerS: numeric,
+		}),
+	}),
+	terms: table({
+		bounds: table({
+			graceS: numeric,
+			holdMaxMs: numeric,
+			retryBudgetRatio: numeric,
+			retryBudgetSlack: numeric,
+			budgetWindowS: numeric,
+		}),
+	}),
+});
+
+type Table = Map<string, Table | string>;
+
+/** Reads a settings file's text; every fault names its path. */
+export function parseDeployment(text: string): Checked<Deployment> {
+	const tables: Table = new Map();
+	const faults: Fault[] = [];
+	for (const [index, line] of text.split(/\r?\n/).entries()) {
+		const at = line.indexOf('=');
+		if (at > 0) {
+			const path = line.slice(0, at).trim().split('.');
+			put(tables, path, line.slice(at + 1).trim());
+		} else if (line.trim() !== '' && !line.startsWith('#')) {
+			faults.push({
+				path: `line ${index + 1}`,
+				message: `expected PATH=VALUE, found ${JSON.stringify(line)}`,
+			});
+		}
+	}
+
+	return faults.length > 0
+		? Left(faults)
+		: checked(fields, plain(tables)).map((values) => named(values));
+}
+
+function put(table: Table, [name, ...rest]: readonly string[], value: string) {
+	if (rest.length === 0) {
+		table.set(name, value);
+		return;
+	}
+
+	const known = table.get(name);
+	const inner =
+		known instanceof Map ? known : new Map<string, Table | string>();
+	table.set(name, inner);
+	put(inner, rest, value);
+}
+
+function plain(table: Table): unknown {
+	return Object.fromEntries(
+		[...table].map(([name, value]) => [
+			name,
+			value instanceof Map ? plain(value) : value,
+		]),
+	);
+}
+
+function named({
+	self,
+	network,
+	platform,
+	terms,
+}: z.infer<typeof fields>): Deployment {
+	const {bounds} = terms;
+	return {
+		vm: self.node,
+		failureDomain: self.zone,
+		region: self.region,
+		memoryLen: self.limits.memoryMb * megabyteLen,
+		listen: {
+			entry: network.listen.front,
+			readiness: network.listen.ready,
+		},
+		store: {
+			address: platform.platform.addr,
+			writeRate: platform.platform.writesPerS,
+			readRate: platform.platform.readsPerS,
+		},
+		serverReportMs: platform.heartbeatMs,
+		bounds: {
+			stopMs: bounds.graceS * secondMs,
+			maxLeaseMs: bounds.holdMaxMs,
+			retryShare: bounds.retryBudgetRatio,
+			retrySlack: bounds.retryBudgetSlack,
+			retryWindowMs: bounds.budgetWindowS * secondMs,
+		},
+	};
+}
--- /dev/null
+++ b/packages/platform/src/http-object-store.ts
@@ -0,0 +1,255 @@
+/** The platform's store over HTTP/1.1. No call is repeated here: whether that is safe is for its caller to say. */
+import {type Clock, type Millis} from '@kingcuproute/core';
+import {Left, Right, type Either} from 'purify-ts';
+import {Agent, request} from 'undici';
+import {z} from 'zod';
+import {type ObjectError} from './object-error.js';
+import {
+	ObjectStore,
+	type ObjectChanges,
+	type ObjectListing,
+	type ObjectWrite,
+	type StoredObject,
+} from './object-store.js';
+
+/** Several hundred times the store's usual 4 ms; a slow store takes a few hundred ms. */
+const callTimeoutMs: Millis = 1500;
+/** How long after its wait a watch may still answer. */
+const watchSlackMs: Millis = 1000;
+const connectTimeoutMs: Millis = 1000;
+const keepAliveMs: Millis = 4000;
+/** A page holds about 500 objects: enough for 100,000 servers, and an end when `more` never ends. */
+const maxPages = 200;
+const messageLen = 200;
+
+const objectSchema = z.looseObject({
+	metadata: z.looseObject({
+		name: z.string(),
+		rev: z.number().int().nonnegative(),
+	}),
+	spec: z.unknown().optional(),
+	status: z.unknown().optional(),
+});
+const pageSchema = z.object({
+	items: z.array(z.unknown()),
+	more: z.boolean().optional(),
+	storeRevision: z.number().int().nonnegative(),
+});
+const changesSchema = z.object({
+	events: z.array(
+		z.object({removed: z.boolean().optional(), object: z.unknown()}),
+	),
+	storeRevision: z.number().int().nonnegative(),
+});
+
+type Call = {
+	readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
+	readonly path: string;
+	readonly body?: unknown;
+	readonly timeoutMs?: Millis;
+};
+
+export class HttpObjectStore extends ObjectStore {
+	readonly #agent: Agent;
+
+	/** `address` is the store's host and port. */
+	constructor(
+		private readonly address: string,
+		private readonly clock: Clock,
+	) {
+		super();
+		this.#agent = new Agent({
+			connect: {timeout: connectTimeoutMs},
+			keepAliveTimeout: keepAliveMs,
+			keepAliveMaxTimeout: keepAliveMs,
+			headersTimeout: 0,
+			bodyTimeout: 0,
+		});
+	}
+
+	override async list(
+		kind: string,
+	): Promise<Either<ObjectError, ObjectListing>> {
+		const objects: StoredObject[] = [];
+		let revision: number | undefined;
+		let after = '';
+		for (let pages = 0; pages < maxPages; pages++) {
+			const page = await this.#call(
+				{method: 'GET', path: pathOf(kind, undefined, after ? {after} : {})},
+				(body) => pageSchema.parse(body),
+			);
+			if (page.isLeft()) {
+				return Left(page.extract());
+			}
+
+			const {items, more, storeRevision} = page.unsafeCoerce();
+			const held = items.map((item) => parseObject(item));
+			objects.push(...held.filter((object) => object !== undefined));
+			// Changes between two pages are reported by a watch from the first.
+			revision ??= storeRevision;
+			if (!more || held.length === 0) {
+				break;
+			}
+
+			after = nameOf(items.at(-1)) ?? after;
+		}
+
+		return Right({revision: revision ?? 0, objects});
+	}
+
+	override async watch(
+		kind: string,
+		revision: number,
+		waitMs: Millis,
+	): Promise<Either<ObjectError, ObjectChanges>> {
+		const query = {watch: String(revision), waitMs: String(waitMs)};
+		const call: Call = {
+			method: 'GET',
+			path: pathOf(kind, undefined, query),
+			timeoutMs: waitMs + watchSlackMs,
+		};
+		return this.#call(call, (body) => {
+			const {events, storeRevision} = changesSchema.parse(body);
+			const changes = events.flatMap(({object, removed = false}) => {
+				const held = parseObject(object);
+				return held ? [{object: held, removed}] : [];
+			});
+			return {revision: storeRevision, changes};
+		});
+	}
+
+	override async write({
+		kind,
+		name,
+		revision,
+		spec,
+	}: ObjectWrite): Promise<Either<ObjectError, StoredObject>> {
+		const call: Call =
+			revision === undefined
+				? {
+						method: 'POST',
+						path: pathOf(kind),
+						body: {metadata: {name}, spec},
+					}
+				: {
+						method: 'PUT',
+						path: pathOf(kind, name),
+						body: {metadata: {name, rev: revision}, spec},
+					};
+		return this.#call(call, (body) => {
+			const held = parseObject(body);
+			if (!held) {
+				throw new TypeError('the answer holds no object');
+			}
+
+			return held;
+		});
+	}
+
+	override async remove(
+		kind: string,
+		name: string,
+	): Promise<Either<ObjectError, undefined>> {
+		return this.#call(
+			{method: 'DELETE', path: pathOf(kind, name)},
+			() => undefined,
+		);
+	}
+
+	/** Closes its connections, so that the process can end. */
+	async close(): Promise<void> {
+		await this.#agent.destroy();
+	}
+
+	async #call<T>(
+		call: Call,
+		read: (body: unknown) => T,
+	): Promise<Either<ObjectError, T>> {
+		const {method, path, body, timeoutMs = callTimeoutMs} = call;
+		const abort = new AbortController();
+		const cancel = this.clock.after(timeoutMs, () => {
+			abort.abort(new Error(`no answer in ${timeoutMs} ms`));
+		});
+		try {
+			const res = await request(`http://${this.address}${path}`, {
+				method,
+				headers: {'content-type': 'application/json'},
+				body: body === undefined ? null : JSON.stringify(body),
+				signal: abort.signal,
+				dispatcher: this.#agent,
+			});
+			const text = await res.body.text();
+			return res.statusCode < 300
+				? Right(read(text === '' ? undefined : JSON.parse(text)))
+				: Left(refusal(call, res.statusCode, text));
+		} catch (error) {
+			const {message} = error as Error;
+			return Left({kind: 'unknown', message: `${method} ${path}: ${message}`});
+		} finally {
+			cancel();
+		}
+	}
+}
+
+function pathOf(
+	kind: string,
+	name?: string,
+	query: Readonly<Record<string, string>> = {},
+): string {
+	const path = ['/kingcuproute/objects', kind, name ?? []]
+		.flat()
+		.map((part, index) => (index === 0 ? part : encodeURIComponent(part)))
+		.join('/');
+	const asked = new URLSearchParams(query).toString();
+	return asked === '' ? path : `${path}?${asked}`;
+}
+
+function parseObject(body: unknown): StoredObject | undefined {
+	const parsed = objectSchema.safeParse(body);
+	if (!parsed.success) {
+		return undefined;
+	}
+
+	const {metadata, spec, status, ...rest} = parsed.data;
+	return {name: metadata.name, revision: metadata.rev, spec, status, rest};
+}
+
+function nameOf(item: unknown): string | undefined {
+	return parseObject(item)?.name;
+}
+
+function refusal(call: Call, status: number, text: string): ObjectError {
+	const message = `${call.method} ${call.path}: status ${status}: ${text.slice(0, messageLen)}`;
+	switch (status) {
+		case 404: {
+			return {kind: 'missing'};
+		}
+
+		case 409: {
+			return {kind: 'conflict', held: parseObject(jsonOf(text))};
+		}
+
+		case 410: {
+			return {kind: 'expired'};
+		}
+
+		case 429:
+		case 503:
+		case 400: {
+			return {kind: 'refused', message};
+		}
+
+		default: {
+			return {kind: 'unknown', message};
+		}
+	}
+}
+
+function jsonOf(text: string): unknown {
+	try {
+		return JSON.parse(text);
+	} catch {
+		// The conflict stands without the object; its reader asks again.
+		return undefined;
+	}
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -8,3 +8,44 @@
 export {type PlatformError} from './platform-error.js';
 export {HttpPlatform, type HttpPlatformOptions} from './http-platform.js';
 export {SystemClock} from './system-clock.js';
+export {
+	parseDeployment,
+	settingsVariable,
+	type Address,
+	type Deployment,
+} from './deployment.js';
+export {HttpObjectStore} from './http-object-store.js';
+export {HttpKeyOrders, KeyOrders, type OrderEnd} from './key-orders.js';
+export {
+	daemonsKind,
+	keepersKind,
+	rangeTablesKind,
+	rangeTableSpec,
+	parseKeeper,
+	parseRangeTable,
+	type Keeper,
+} from './range-table-document.js';
+export {parseListedServer, serversKind} from './listed-servers.js';
+export {type ObjectError} from './object-error.js';
+export {
+	ObjectStore,
+	type ObjectChange,
+	type ObjectChanges,
+	type ObjectListing,
+	type ObjectWrite,
+	type StoredObject,
+} from './object-store.js';
+export {
+	answerFields,
+	parseLoad,
+	readMarks,
+	requestFields,
+	type AnswerMarks,
+	type ServerLoad,
+} from './request-fields.js';
+export {
+	configKind,
+	configName,
+	evacuationsKind,
+	parseRoutingConfig,
+} from './routing-document.js';
--- /dev/null
+++ b/packages/platform/src/object-error.ts
@@ -0,0 +1,13 @@
+/** Why a call to the platform's store did not do what it was to do. */
+import {type StoredObject} from './object-store.js';
+
+export type ObjectError =
+	/** The object exists already, or is at another revision. */
+	| {readonly kind: 'conflict'; readonly held: StoredObject | undefined}
+	| {readonly kind: 'missing'}
+	/** The history that a watch asked for is gone: list again. */
+	| {readonly kind: 'expired'}
+	/** Nothing was done. */
+	| {readonly kind: 'refused'; readonly message: string}
+	/** No answer, or none that can be read: a write may still be carried out. */
+	| {readonly kind: 'unknown'; readonly message: string};
--- /dev/null
+++ b/packages/platform/test/decoding.test.ts
@@ -0,0 +1,261 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {
+	parseDeployment,
+	parseListedServer,
+	parseLoad,
+	parseRangeTable,
+	parseRoutingConfig,
+	readMarks,
+	type StoredObject,
+} from '../src/index.js';
+
+const settings = [
+	'self.node=front-a-1',
+	'self.zone=a',
+	'self.region=r',
+	'self.limits.memoryMb=350',
+	'network.listen.front=10.1.0.15:8641',
+	'network.listen.ready=10.1.0.15:8640',
+	'platform.heartbeatMs=870',
+	'platform.platform.addr=10.200.1.7:8642',
+	'platform.platform.writesPerS=400',
+	'platform.platform.readsPerS=2000',
+	'terms.bounds.graceS=6',
+	'terms.bounds.holdMaxMs=10000',
+	'terms.bounds.retryBudgetRatio=0.2',
+	'terms.bounds.retryBudgetSlack=62',
+	'terms.bounds.budgetWindowS=10',
+];
+
+const routingDocument = {
+	version: 'r7',
+	routes: {
+		columns: [
+			'name',
+			'host',
+			'pathPrefix',
+			'routeKind',
+			'timeoutMs',
+			'targetLatencyMs',
+			'priority',
+			'trafficSplit',
+			'maxAttempts',
+			'service',
+		],
+		rows: [
+			[
+				'split',
+				'Shop.example',
+				'/a/',
+				'safe',
+				1500,
+				600,
+				2,
+				[
+					{service: 's', weight: 90},
+					{service: 't', weight: 10},
+				],
+				2,
+				null,
+			],
+			['plain', 'shop.example', '/b/', 'upload', 1200, 800, 1, null, 2, 's'],
+		],
+	},
+	services: {
+		columns: [
+			'name',
+			'healthPath',
+			'maxConns',
+			'protocol',
+			'tls',
+			'warmupS',
+			'coldPerS',
+			'sharded',
+			'warmS',
+			'grants',
+		],
+		rows: [
+			['s', '/health', 130, 'h1', false, 3, 2.8, true, 5, 'call'],
+			['t', '/health', 130, 'h1', false, 3, 2.8, null, null, null],
+		],
+	},
+	limits: {
+		maxHeaderBytes: 16_384,
+		maxBodyBytes: 67_108_864,
+		headerTimeoutMs: 3000,
+		idleTimeoutMs: 15_000,
+	},
+};
+
+const entry: StoredObject = {
+	name: 'i-1',
+	revision: 4,
+	spec: {
+		addr: '10.128.0.9:8080',
+		born: 1_700_000_000_000,
+		info: {service: 's', version: 'v1', zone: 'a', slots: 3},
+	},
+	status: {state: 'draining', seq: 4, coldLeftMs: 700},
+	rest: {},
+};
+
+const rangeTable = {
+	service: 's',
+	nextFence: 3,
+	ranges: [[0, 65_535, 'i-1', 12, 2]],
+};
+
+test('the settings are read with their units, and unknown fields passed over', (t) => {
+	const text = [...settings, 'self.novelty=1', ''].join('\n');
+	const deployment = parseDeployment(text).unsafeCoerce();
+	t.is(deployment.vm, 'front-a-1');
+	t.deepEqual(deployment.listen.entry, {host: '10.1.0.15', port: 8641});
+	t.is(deployment.bounds.stopMs, 6000);
+	t.is(deployment.bounds.retryWindowMs, 10_000);
+	t.is(deployment.memoryLen, 350 * 1_048_576);
+});
+
+test('each missing or wrong setting is named with its path', (t) => {
+	for (const [index, line] of settings.entries()) {
+		const path = line.slice(0, line.indexOf('='));
+		const missing = parseDeployment(settings.toSpliced(index, 1).join('\n'));
+		missing.ifLeft((faults) => {
+			t.deepEqual(
+				faults.map((fault) => fault.path),
+				[path],
+			);
+		});
+		t.true(missing.isLeft(), `${path} may be missing`);
+	}
+
+	const wrong = parseDeployment(
+		settings.with(3, 'self.limits.memoryMb=plenty').join('\n'),
+	);
+	wrong.ifLeft(([fault]) => {
+		t.is(fault.path, 'self.limits.memoryMb');
+		t.regex(fault.message, /number.*plenty/);
+	});
+	t.true(wrong.isLeft());
+	t.true(parseDeployment(`${settings.join('\n')}\nnonsense`).isLeft());
+});
+
+test('a configuration is decoded into routes and services', (t) => {
+	const config = parseRoutingConfig(routingDocument).unsafeCoerce();
+	t.is(config.version, 7);
+	const [split, plain] = config.rules;
+	t.is(split.host, 'shop.example');
+	t.is(split.repeatability, 'safe');
+	t.deepEqual(
+		split.parts.map(({weight}) => weight),
+		[90, 10],
+	);
+	t.is(plain.repeatability, 'unsafe');
+	t.deepEqual(plain.parts, [{service: 's', weight: 1}]);
+	t.deepEqual(
+		config.services.map(({service, keyed, coldMs}) => [service, keyed, coldMs]),
+		[
+			['s', true, 3000],
+			['t', false, 3000],
+		],
+	);
+});
+
+test('a route without a service is a fault', (t) => {
+	const [, plain] = routingDocument.routes.rows;
+	const routes = {
+		...routingDocument.routes,
+		rows: [plain.with(9, null)],
+	};
+	t.true(parseRoutingConfig({...routingDocument, routes}).isLeft());
+});
+
+test('a backend server is decoded with its start and its state', (t) => {
+	t.deepEqual(parseListedServer(entry).unsafeCoerce(), {
+		backendServer: 'i-1',
+		startedAt: 1_700_000_000_000,
+		service: 's',
+		address: '10.128.0.9:8080',
+		failureDomain: 'a',
+		slots: 3,
+		draining: true,
+		coldMs: 700,
+	});
+});
+
+test('an answer says whether it ran, to whom it belongs and how busy its server is', (t) => {
+	t.deepEqual(
+		readMarks(503, {
+			'x-kingcuproute-request-id': 'q',
+			'x-kingcuproute-not-executed': '1',
+			'x-kingcuproute-server-load': '3,1,3,250',
+		}),
+		{
+			requestId: 'q',
+			notRun: true,
+			encoded: false,
+			load: {running: 3, waiting: 1, slots: 3, slowness: 2.5},
+		},
+	);
+	t.true(readMarks(421, {}).notRun);
+	t.false(readMarks(503, {}).notRun);
+	t.true(readMarks(200, {'content-encoding': 'gzip'}).encoded);
+	for (const text of ['', 'a,b,c', '1,2', '1,-2,3', '1,2,0']) {
+		t.is(parseLoad(text), undefined);
+	}
+});
+
+/** A value with one of its parts left out, or replaced by something else. */
+function spoilt(value: unknown, path: readonly number[], by: unknown): unknown {
+	const [step, ...rest] = path;
+	if (step === undefined || typeof value !== 'object' || value === null) {
+		return by;
+	}
+
+	const keys = Object.keys(value);
+	if (keys.length === 0) {
+		return by;
+	}
+
+	const key = keys[step % keys.length];
+	const inner = (value as Record<string, unknown>)[key];
+	if (Array.isArray(value)) {
+		return value.with(Number(key), spoilt(inner, rest, by));
+	}
+
+	return {...value, [key]: spoilt(inner, rest, by)};
+}
+
+test('spoilt messages are faults or values, never a crash', (t) => {
+	const path = fc.array(fc.nat(20), {minLength: 1, maxLength: 5});
+	const by = fc.oneof(
+		fc.constant(undefined),
+		fc.constant(null),
+		fc.anything(),
+		fc.string(),
+		fc.double(),
+	);
+	fc.assert(
+		fc.property(path, by, (steps, other) => {
+			for (const parse of [
+				() => parseRoutingConfig(spoilt(routingDocument, steps, other)),
+				() => parseListedServer(spoilt(entry, steps, other) as StoredObject),
+				() => parseRangeTable(spoilt(rangeTable, steps, other)),
+			]) {
+				const parsed = parse();
+				parsed.ifLeft((faults) => {
+					t.true(faults.length > 0);
+				});
+			}
+
+			t.pass();
+		}),
+	);
+	fc.assert(
+		fc.property(fc.string(), fc.nat(settings.length), (line, at) => {
+			parseDeployment(settings.toSpliced(at, 1, line).join('\n'));
+			parseLoad(line);
+			t.pass();
+		}),
+	);
+});
