Split the gateway's long files, and say twice-said things once

Cause: read as a newcomer, key-keeper.ts and gateway-exchange.ts each held two ideas; whether a run holds a range stood in four places, which servers are in service in two, once worked out for each request; the test had a process starter of its own beside the fakes' Child, and its own wait loop.

--- a/packages/core/src/gateway/key-plan.ts
+++ b/packages/core/src/gateway/key-plan.ts
@@ -4,7 +4,7 @@
  * each that moves is slow for a while.
  */
 import {type ListedServer} from './listed-server.js';
-import {maxKey, type KeyRange, type RangeTable} from './key-range.js';
+import {isHeldBy, maxKey, type KeyRange, type RangeTable} from './key-range.js';
 
 /** A run of keys that is to go to `target`; `holder` is undefined while nobody ever held them. */
 export type KeyMove = {
@@ -28,11 +28,8 @@
 	}
 
 	const held = new Map(servers.map((server) => [server.backendServer, 0]));
-	const isOwned = ({owner, ownerStartedAt}: KeyRange) =>
-		servers.some(
-			({backendServer, startedAt}) =>
-				backendServer === owner && startedAt === ownerStartedAt,
-		);
+	const isOwned = (range: KeyRange) =>
+		servers.some((server) => isHeldBy(range, server));
 	for (const range of ranges.filter((one) => isOwned(one))) {
 		held.set(range.owner, (held.get(range.owner) ?? 0) + lenOf(range));
 	}
--- a/packages/core/src/gateway/key-range.ts
+++ b/packages/core/src/gateway/key-range.ts
@@ -1,4 +1,5 @@
 /** Who holds which keys of a service divided by key, and by which fence. */
+import {type ListedServer} from './listed-server.js';
 
 /** Keys are whole numbers from 0 to this. */
 export const maxKey = 65_535;
@@ -23,6 +24,14 @@
 	readonly ranges: readonly KeyRange[];
 };
 
+/** Whether this run of the server holds the range; a later run under its id does not. */
+export function isHeldBy(
+	{owner, ownerStartedAt}: KeyRange,
+	{backendServer, startedAt}: ListedServer,
+): boolean {
+	return owner === backendServer && ownerStartedAt === startedAt;
+}
+
 /** The range that `key` is in. */
 export function rangeOf(
 	{ranges}: RangeTable,
--- a/packages/core/src/gateway/listed-server.ts
+++ b/packages/core/src/gateway/listed-server.ts
@@ -17,7 +17,19 @@
 	readonly coldMs: Millis;
 };
 
-/** Whether both are the same run of a server. */
-export function isSameRun(a: ListedServer, b: ListedServer): boolean {
-	return a.backendServer === b.backendServer && a.startedAt === b.startedAt;
+/** Servers that may be given work, by service: none that leaves or whose failure domain is out of service. */
+export function serversInService(
+	servers: readonly ListedServer[],
+	domainsOut: ReadonlySet<string>,
+): ReadonlyMap<string, readonly ListedServer[]> {
+	const found = new Map<string, ListedServer[]>();
+	for (const server of servers) {
+		const {service, draining, failureDomain} = server;
+		if (!draining && !domainsOut.has(failureDomain)) {
+			const others = found.get(service) ?? [];
+			found.set(service, [...others, server]);
+		}
+	}
+
+	return found;
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -240,13 +240,14 @@
 export {terms, type Terms} from './limits/terms.js';
 export {waterFill} from './limits/water-fill.js';
 export {
+	isHeldBy,
 	maxKey,
 	rangeOf,
 	type KeyRange,
 	type RangeTable,
 } from './gateway/key-range.js';
 export {moved, planKeys, without, type KeyMove} from './gateway/key-plan.js';
-export {isSameRun, type ListedServer} from './gateway/listed-server.js';
+export {serversInService, type ListedServer} from './gateway/listed-server.js';
 export {
 	type CallerLimits,
 	type Part,
--- /dev/null
+++ b/packages/daemon/src/gateway/exchange-means.ts
@@ -0,0 +1,17 @@
+/** What every request of the daemon shares. */
+import {type Clock, type Random} from '@kingcuproute/core';
+import {type Log} from '../log/log.js';
+import {type Budget} from '../requests/budget.js';
+import {type ServerConnections} from '../requests/server-connections.js';
+import {type ServerPicks} from './server-picks.js';
+import {type ViewTask} from './view-task.js';
+
+export type ExchangeMeans = {
+	readonly view: ViewTask;
+	readonly picks: ServerPicks;
+	readonly connections: ServerConnections;
+	readonly budget: Budget;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly log: Log;
+};
--- a/packages/daemon/src/gateway/gateway-entry-task.ts
+++ b/packages/daemon/src/gateway/gateway-entry-task.ts
@@ -9,7 +9,8 @@
 import {entryServer} from '../requests/entry-server.js';
 import {ServerConnections} from '../requests/server-connections.js';
 import {Task} from '../task/task.js';
-import {GatewayExchange, type ExchangeMeans} from './gateway-exchange.js';
+import {type ExchangeMeans} from './exchange-means.js';
+import {GatewayExchange} from './gateway-exchange.js';
 import {ServerPicks} from './server-picks.js';
 import {ViewTask} from './view-task.js';
 
--- a/packages/daemon/src/gateway/gateway-exchange.ts
+++ b/packages/daemon/src/gateway/gateway-exchange.ts
@@ -6,42 +6,19 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {
 	drawService,
-	forwardedHeaders,
 	headerFault,
-	type AnswerHead,
+	ranAfter,
 	type AttemptEnd,
-	type Clock,
-	type Judgement,
-	type ListedServer,
 	type Millis,
-	type Random,
 	type RoutedService,
 	type RouteRule,
-	type SendingEnd,
 } from '@kingcuproute/core';
-import {readMarks, requestFields} from '@kingcuproute/platform';
-import {type Log} from '../log/log.js';
-import {Attempt} from '../requests/attempt.js';
-import {type Budget} from '../requests/budget.js';
+import {requestFields} from '@kingcuproute/platform';
 import {RequestBody} from '../requests/request-body.js';
-import {type ServerConnections} from '../requests/server-connections.js';
+import {type ExchangeMeans} from './exchange-means.js';
 import {sendEnd, type RequestEnd} from './request-end.js';
-import {type ServerPicks} from './server-picks.js';
-import {type ViewTask} from './view-task.js';
+import {holdLen, Sending} from './sending.js';
 
-export type ExchangeMeans = {
-	readonly view: ViewTask;
-	readonly picks: ServerPicks;
-	readonly connections: ServerConnections;
-	readonly budget: Budget;
-	readonly clock: Clock;
-	readonly random: Random;
-	readonly log: Log;
-};
-
-/** Bodies and answers up to this length are held whole: several times the longest uploads of today's sites. */
-const holdLen = 1_048_576;
-const answerIdleMs: Millis = 10_000;
 /** What a caller allows that does not say. */
 const usualAllowedMs: Millis = 5000;
 /** So that the answer is with the caller before its time is over. */
@@ -52,6 +29,8 @@
 const ownerWaitShare = 0.3;
 const configRetryMs: Millis = 500;
 const ownerPollMs: Millis = 25;
+/** About one run of the shortest requests: a slot is likely to be free by then. */
+const declinedRetryMs: Millis = 300;
 
 type Asked = {
 	readonly id: string;
@@ -64,7 +43,7 @@
 };
 
 export class GatewayExchange {
-	#attempt: Attempt | undefined;
+	#sending: Sending | undefined;
 	#gone = false;
 
 	constructor(
@@ -75,7 +54,7 @@
 		res.once('close', () => {
 			if (!res.writableFinished) {
 				this.#gone = true;
-				this.#attempt?.cancel();
+				this.#sending?.cancel();
 			}
 		});
 	}
@@ -178,7 +157,12 @@
 
 			sends++;
 			tried.push(server.backendServer);
-			const end = await this.#attemptAt(asked, server, sends);
+			this.#sending = new Sending(this.means, this.req, this.res, {
+				...asked,
+				server,
+				number: sends,
+			});
+			const end = await this.#sending.run();
 			before = end;
 			if (end.kind === 'answered') {
 				budget.earn();
@@ -191,9 +175,7 @@
 			}
 
 			const mayRepeat =
-				rule.repeatability === 'safe' ||
-				end.kind === 'declined' ||
-				end.kind === 'unsent';
+				rule.repeatability === 'safe' || ranAfter(end) === 'not-run';
 			const isWorth =
 				sends < rule.maxAttempts &&
 				budget.hasOne &&
@@ -211,104 +193,6 @@
 		return undefined;
 	}
 
-	async #attemptAt(
-		{id, service, body, until}: Asked,
-		server: ListedServer,
-		number: number,
-	): Promise<AttemptEnd> {
-		const {picks, connections, clock, log, view} = this.means;
-		const {backendServer, address} = server;
-		const leftMs = Math.max(1, until - clock.now());
-		const each = Math.floor(service.connections / view.view.value.daemons);
-		const dispatcher = connections.to(address, Math.max(1, each));
-		const attempt = new Attempt(
-			{
-				method: this.req.method ?? 'GET',
-				path: this.req.url ?? '/',
-				headers: [
-					...this.#forwarded(),
-					requestFields.allowedMs,
-					String(Math.floor(leftMs)),
-					requestFields.expectedServer,
-					backendServer,
-				],
-				body: body.source(),
-				timeoutMs: leftMs,
-				idleMs: answerIdleMs,
-				holdLen,
-				claim: () => true,
-				judge: (head) => this.#judge(id, server, head),
-				added: [],
-			},
-			this.res,
-			clock,
-		);
-		this.#attempt = attempt;
-		log.routing('request-sent', {
-			id,
-			service: service.service,
-			backendServer,
-			number,
-			load: Number(picks.loads.load(server, clock.now()).toFixed(2)),
-			leftMs: Math.round(leftMs),
-		});
-		picks.loads.sent(backendServer);
-		attempt.send(dispatcher);
-		const end = await attempt.ended;
-		picks.loads.ended(backendServer, sendingEnd(end), clock.now());
-		if (end.kind !== 'answered') {
-			const message = 'message' in end ? end.message : undefined;
-			log.info('attempt-failed', {id, backendServer, end: end.kind, message});
-		}
-
-		if (end.kind === 'lost' && end.silent) {
-			connections.retire(address, dispatcher);
-		}
-
-		return end;
-	}
-
-	#judge(
-		id: string,
-		{backendServer}: ListedServer,
-		{status, headers}: AnswerHead,
-	): Judgement {
-		const {picks, clock} = this.means;
-		const {requestId, notRun, encoded, load} = readMarks(status, headers);
-		if (requestId !== id) {
-			const message = `answer to request ${requestId ?? 'without an id'}`;
-			return {kind: 'unusable', message};
-		}
-
-		if (load) {
-			picks.loads.reported(backendServer, load, clock.now());
-		}
-
-		if (notRun) {
-			return {kind: 'declined', retryAfterMs: undefined};
-		}
-
-		if (encoded) {
-			return {kind: 'unusable', message: 'encoded body'};
-		}
-
-		const len = Number(headers['content-length'] ?? Number.NaN);
-		return {kind: 'pass', bodyLen: Number.isFinite(len) ? len : 0};
-	}
-
-	#forwarded(): readonly string[] {
-		const own = new Set<string>([
-			requestFields.allowedMs,
-			requestFields.expectedServer,
-		]);
-		const all = forwardedHeaders(this.req.rawHeaders);
-		return all.flatMap((text, index) =>
-			index % 2 === 0 && !own.has(text.toLowerCase())
-				? [text, all[index + 1]]
-				: [],
-		);
-	}
-
 	#mayWait({arrivedAt, until}: Asked): boolean {
 		const {clock} = this.means;
 		return clock.now() - arrivedAt < (until - arrivedAt) * ownerWaitShare;
@@ -330,26 +214,16 @@
 	end: AttemptEnd,
 	refusal: RequestEnd | undefined,
 ): RequestEnd {
-	if (end.kind === 'declined' || end.kind === 'unsent') {
-		return refusal ?? {reason: 'declined', notRun: true, retryAfterMs: 300};
+	if (ranAfter(end) === 'not-run') {
+		return (
+			refusal ?? {
+				reason: 'declined',
+				notRun: true,
+				retryAfterMs: declinedRetryMs,
+			}
+		);
 	}
 
 	const isSilent = end.kind === 'lost' && end.silent;
 	return {reason: isSilent ? 'timeout' : 'lost', notRun: false};
 }
-
-function sendingEnd({kind}: AttemptEnd): SendingEnd {
-	switch (kind) {
-		case 'answered':
-		case 'declined':
-		case 'cancelled': {
-			return kind;
-		}
-
-		case 'lost':
-		case 'cut':
-		case 'unsent': {
-			return 'lost';
-		}
-	}
-}
--- a/packages/daemon/src/gateway/keepers-task.ts
+++ b/packages/daemon/src/gateway/keepers-task.ts
@@ -97,11 +97,7 @@
 			clock,
 			log,
 			listed,
-			servers: () =>
-				listed().filter(
-					({draining, failureDomain}) =>
-						!draining && !view.view.value.evacuated.has(failureDomain),
-				),
+			servers: () => view.view.value.inService.get(service) ?? [],
 		});
 		lease.heard(this.#leases.objects.value?.get(service));
 		keeper.heard(view.rangeTableObjects.objects.value?.get(service));
--- a/packages/daemon/src/gateway/key-keeper.ts
+++ b/packages/daemon/src/gateway/key-keeper.ts
@@ -7,8 +7,8 @@
 	fold,
 	moved,
 	planKeys,
+	isHeldBy,
 	without,
-	type Clock,
 	type KeyMove,
 	type KeyRange,
 	type ListedServer,
@@ -19,58 +19,36 @@
 	parseRangeTable,
 	rangeTablesKind,
 	rangeTableSpec,
-	type KeyOrders,
 	type ObjectStore,
 	type StoredObject,
 } from '@kingcuproute/platform';
-import {type Log} from '../log/log.js';
-import {type KeeperLease} from './keeper-lease.js';
+import {KeyGrants, type KeyGrantsMeans} from './key-grants.js';
 
-/** Outlasts a change of keeper: lease, margin and the first renewal. */
-const holdMs: Millis = 5500;
-const renewMs: Millis = 1300;
-const orderTimeoutMs: Millis = 800;
-/** Longer than the longest work that a release may have to wait for. */
-const releaseTimeoutMs: Millis = 3000;
-/** A server's clock may run slow by this. */
-const slowClock = 1.02;
 const tickMs: Millis = 100;
 
-/** Moves keys have been released, or their lease is over, and wait to be written. */
+/** A move whose keys nobody holds any more, which waits to be written. */
 type Released = {readonly move: KeyMove; readonly handover: string | undefined};
 
-export type KeyKeeperMeans = {
-	readonly service: string;
-	readonly lease: KeeperLease;
+export type KeyKeeperMeans = KeyGrantsMeans & {
 	readonly store: ObjectStore;
-	readonly orders: KeyOrders;
-	readonly clock: Clock;
-	readonly log: Log;
 	/** Servers of the service that may hold keys. */
 	readonly servers: () => readonly ListedServer[];
-	/** All servers of the service, those that leave included. */
-	readonly listed: () => readonly ListedServer[];
 };
 
 export class KeyKeeper {
 	#held: StoredObject | undefined;
 	#table: RangeTable;
-	/** By server and start: when no lease given to that run can last any more. */
-	readonly #leaseOverAt = new Map<string, Millis>();
-	readonly #renewedAt = new Map<string, Millis>();
+	readonly #grants: KeyGrants;
 	readonly #moving = new Set<KeyMove>();
 	#released: Released[] = [];
 	#writing = false;
 	/** Whether the table was written under the lease now held: no older write can land after that. */
 	#inForce = false;
-	/** Grants to each run that are not answered yet. */
-	readonly #inFlight = new Map<string, Set<Promise<void>>>();
-	/** Until when a grant without an answer may still be taken by each run. */
-	readonly #unsureUntil = new Map<string, Millis>();
 	#cancel: (() => void) | undefined;
 
 	constructor(private readonly means: KeyKeeperMeans) {
 		this.#table = {service: means.service, nextFence: 1, ranges: []};
+		this.#grants = new KeyGrants(means);
 	}
 
 	start(): void {
@@ -122,18 +100,14 @@
 	 * from here on. That keeper may have given leases until its own ended.
 	 */
 	async #takeOver(): Promise<void> {
-		const {clock, log, service} = this.means;
+		const {log, service} = this.means;
 		const table = {...this.#table, nextFence: this.#table.nextFence + 1};
 		if (!(await this.#put(table))) {
 			return;
 		}
 
 		this.#inForce = true;
-		const until = clock.now() + holdMs * slowClock + orderTimeoutMs;
-		for (const {owner, ownerStartedAt} of table.ranges) {
-			this.#leaseOverAt.set(runOf(owner, ownerStartedAt), until);
-		}
-
+		this.#grants.assumeGranted(table.ranges);
 		log.info('keeper-took-over', {
 			service,
 			ranges: table.ranges.length,
@@ -172,30 +146,14 @@
 	}
 
 	#renew(): void {
-		const {clock, listed} = this.means;
-		const now = clock.now();
-		for (const server of listed()) {
-			const run = runOf(server.backendServer, server.startedAt);
-			if (now - (this.#renewedAt.get(run) ?? -Infinity) < renewMs) {
-				continue;
-			}
-
-			const ranges = this.#rangesOf(server);
-			if (ranges.length > 0) {
-				this.#renewedAt.set(run, now);
-				for (const range of ranges) {
-					this.#send(server, range);
-				}
-			}
+		for (const server of this.means.listed()) {
+			this.#grants.renew(server, this.#rangesOf(server));
 		}
 	}
 
 	/** What a server holds and is not about to give up. */
 	#rangesOf(server: ListedServer): readonly KeyRange[] {
-		let ranges = this.#table.ranges.filter(
-			({owner, ownerStartedAt}) =>
-				owner === server.backendServer && ownerStartedAt === server.startedAt,
-		);
+		let ranges = this.#table.ranges.filter((range) => isHeldBy(range, server));
 		for (const {from, to} of this.#moving) {
 			ranges = ranges.flatMap((range) => without(range, from, to));
 		}
@@ -203,62 +161,6 @@
 		return ranges;
 	}
 
-	#send(server: ListedServer, range: KeyRange, handover?: string): void {
-		const run = runOf(server.backendServer, server.startedAt);
-		const sent = this.#inFlight.get(run) ?? new Set();
-		this.#inFlight.set(run, sent);
-		const grant = this.#grant(server, range, handover);
-		sent.add(grant);
-		const forget = async () => {
-			await grant;
-			sent.delete(grant);
-		};
-
-		void forget();
-	}
-
-	async #grant(
-		server: ListedServer,
-		{from, to, fence}: KeyRange,
-		handover?: string,
-	): Promise<void> {
-		const {clock, orders, log, lease, service} = this.means;
-		if (!lease.isHeld) {
-			return;
-		}
-
-		const run = runOf(server.backendServer, server.startedAt);
-		const lasting = holdMs * slowClock + orderTimeoutMs;
-		this.#leaseOverAt.set(run, clock.now() + lasting);
-		const order = {
-			from,
-			to,
-			fence,
-			leaseMs: holdMs,
-			...(handover !== undefined && {handover}),
-		};
-		const end = await orders.grant(server.address, order, orderTimeoutMs);
-		if (end.kind !== 'taken') {
-			const {backendServer} = server;
-			const message = end.kind === 'unknown' ? end.message : undefined;
-			log.warn('grant-failed', {
-				service,
-				backendServer,
-				from,
-				to,
-				fence,
-				end: end.kind,
-				message,
-			});
-			if (end.kind === 'unknown') {
-				this.#unsureUntil.set(run, clock.now() + lasting);
-			} else if (end.kind === 'unreachable') {
-				// Nothing runs at the address: what held the keys there has ended.
-				this.#leaseOverAt.set(run, clock.now());
-			}
-		}
-	}
-
 	#plan(): void {
 		if (this.#moving.size > 0) {
 			return;
@@ -272,68 +174,15 @@
 
 	/** Gets the move's keys free of their holder. */
 	async #free(move: KeyMove): Promise<void> {
-		const {clock, lease} = this.means;
-		const {holder} = move;
-		const handover = holder && (await this.#release(move, holder));
-		if (holder && handover === undefined) {
-			const run = runOf(holder.owner, holder.ownerStartedAt);
-			for (;;) {
-				const leftMs = (this.#leaseOverAt.get(run) ?? 0) - clock.now();
-				if (leftMs <= 0 || !lease.isHeld) {
-					break;
-				}
-
-				await clock.sleep(Math.min(leftMs, tickMs));
-			}
-		}
-
-		if (lease.isHeld) {
+		const {from, to, holder} = move;
+		const handover = holder && (await this.#grants.takeBack(holder, from, to));
+		if (this.means.lease.isHeld) {
 			this.#released.push({move, handover});
 		} else {
 			this.#moving.delete(move);
 		}
 	}
 
-	/** What the holder hands over; undefined where it did not answer and its lease is to be waited out. */
-	async #release(
-		{from, to}: KeyMove,
-		holder: KeyRange,
-	): Promise<string | undefined> {
-		const {clock, orders, listed, log, service} = this.means;
-		const {owner: backendServer, ownerStartedAt, fence} = holder;
-		const server = listed().find(
-			(one) =>
-				one.backendServer === backendServer && one.startedAt === ownerStartedAt,
-		);
-		if (!server) {
-			log.info('holder-gone', {service, backendServer, from, to, fence});
-			return undefined;
-		}
-
-		// A grant still on its way must not be taken after the release.
-		const run = runOf(backendServer, ownerStartedAt);
-		const sent = this.#inFlight.get(run);
-		if (sent) {
-			await Promise.all(sent);
-		}
-
-		const end = await orders.release(
-			server.address,
-			{from, to, fence},
-			releaseTimeoutMs,
-		);
-		log.info('keys-released', {
-			service,
-			backendServer,
-			from,
-			to,
-			fence,
-			end: end.kind,
-		});
-		const isSure = clock.now() >= (this.#unsureUntil.get(run) ?? -Infinity);
-		return end.kind === 'taken' && isSure ? (end.handover ?? '') : undefined;
-	}
-
 	async #write(): Promise<void> {
 		const batch = this.#released;
 		if (batch.length === 0) {
@@ -372,11 +221,7 @@
 			const {fence} = range;
 			const {backendServer} = target;
 			log.info('keys-granted', {service, backendServer, from, to, fence});
-			this.#send(target, range, handover === '' ? undefined : handover);
+			this.#grants.give(target, range, handover);
 		}
 	}
 }
-
-function runOf(server: string, startedAt: number): string {
-	return `${server}\n${startedAt}`;
-}
--- /dev/null
+++ b/packages/daemon/src/gateway/sending.ts
@@ -0,0 +1,160 @@
+/** One sending of a request to one backend server, and what is learned of the server by it. */
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {
+	forwardedHeaders,
+	type AnswerHead,
+	type AttemptEnd,
+	type Judgement,
+	type ListedServer,
+	type Millis,
+	type RoutedService,
+	type SendingEnd,
+} from '@kingcuproute/core';
+import {readMarks, requestFields} from '@kingcuproute/platform';
+import {Attempt} from '../requests/attempt.js';
+import {type RequestBody} from '../requests/request-body.js';
+import {type ExchangeMeans} from './exchange-means.js';
+
+/** Bodies and answers up to this length are held whole: several times the longest uploads of today's sites. */
+export const holdLen = 1_048_576;
+const answerIdleMs: Millis = 10_000;
+
+/** Fields that each sending sets anew. */
+const ownFields: ReadonlySet<string> = new Set([
+	requestFields.allowedMs,
+	requestFields.expectedServer,
+]);
+
+/** What is sent, where to, and by when the caller has to have its answer. */
+export type SendingPlan = {
+	readonly id: string;
+	readonly service: RoutedService;
+	readonly body: RequestBody;
+	readonly until: Millis;
+	readonly server: ListedServer;
+	/** 1 for the request's first sending. */
+	readonly number: number;
+};
+
+export class Sending {
+	#attempt: Attempt | undefined;
+
+	constructor(
+		private readonly means: ExchangeMeans,
+		private readonly req: IncomingMessage,
+		private readonly res: ServerResponse,
+		private readonly plan: SendingPlan,
+	) {}
+
+	/** Gives up; the server sees its connection close. */
+	cancel(): void {
+		this.#attempt?.cancel();
+	}
+
+	async run(): Promise<AttemptEnd> {
+		const {picks, connections, clock, log, view} = this.means;
+		const {id, service, until, server, number} = this.plan;
+		const {backendServer, address} = server;
+		const leftMs = Math.max(1, until - clock.now());
+		const each = Math.floor(service.connections / view.view.value.daemons);
+		const dispatcher = connections.to(address, Math.max(1, each));
+		this.#attempt = this.#newAttempt(leftMs);
+		log.routing('request-sent', {
+			id,
+			service: service.service,
+			backendServer,
+			number,
+			load: Number(picks.loads.load(server, clock.now()).toFixed(2)),
+			leftMs: Math.round(leftMs),
+		});
+		picks.loads.sent(backendServer);
+		this.#attempt.send(dispatcher);
+		const end = await this.#attempt.ended;
+		picks.loads.ended(backendServer, sendingEnd(end), clock.now());
+		if (end.kind !== 'answered') {
+			const message = 'message' in end ? end.message : undefined;
+			log.info('attempt-failed', {id, backendServer, end: end.kind, message});
+		}
+
+		if (end.kind === 'lost' && end.silent) {
+			connections.retire(address, dispatcher);
+		}
+
+		return end;
+	}
+
+	#newAttempt(leftMs: Millis): Attempt {
+		return new Attempt(
+			{
+				method: this.req.method ?? 'GET',
+				path: this.req.url ?? '/',
+				headers: [
+					...this.#forwarded(),
+					requestFields.allowedMs,
+					String(Math.floor(leftMs)),
+					requestFields.expectedServer,
+					this.plan.server.backendServer,
+				],
+				body: this.plan.body.source(),
+				timeoutMs: leftMs,
+				idleMs: answerIdleMs,
+				holdLen,
+				claim: () => true,
+				judge: (head) => this.#judge(head),
+				added: [],
+			},
+			this.res,
+			this.means.clock,
+		);
+	}
+
+	#judge({status, headers}: AnswerHead): Judgement {
+		const {picks, clock} = this.means;
+		const {id, server} = this.plan;
+		const {requestId, notRun, encoded, load} = readMarks(status, headers);
+		if (requestId !== id) {
+			const message = `answer to request ${requestId ?? 'without an id'}`;
+			return {kind: 'unusable', message};
+		}
+
+		if (load) {
+			picks.loads.reported(server.backendServer, load, clock.now());
+		}
+
+		if (notRun) {
+			return {kind: 'declined', retryAfterMs: undefined};
+		}
+
+		if (encoded) {
+			return {kind: 'unusable', message: 'encoded body'};
+		}
+
+		const len = Number(headers['content-length'] ?? Number.NaN);
+		return {kind: 'pass', bodyLen: Number.isFinite(len) ? len : 0};
+	}
+
+	#forwarded(): readonly string[] {
+		const all = forwardedHeaders(this.req.rawHeaders);
+		return all.flatMap((text, index) =>
+			index % 2 === 0 && !ownFields.has(text.toLowerCase())
+				? [text, all[index + 1]]
+				: [],
+		);
+	}
+}
+
+function sendingEnd({kind}: AttemptEnd): SendingEnd {
+	switch (kind) {
+		case 'answered':
+		case 'declined':
+		case 'cancelled': {
+			return kind;
+		}
+
+		case 'lost':
+		case 'cut':
+		case 'unsent': {
+			return 'lost';
+		}
+	}
+}
--- a/packages/daemon/src/gateway/server-picks.ts
+++ b/packages/daemon/src/gateway/server-picks.ts
@@ -1,5 +1,6 @@
 /** Which backend server gets a request's next sending, or why none does. */
 import {
+	isHeldBy,
 	rangeOf,
 	ServerLoads,
 	type Clock,
@@ -53,8 +54,7 @@
 
 		const range = table && rangeOf(table, key);
 		const owner = this.#serving(service).find(
-			({backendServer, startedAt}) =>
-				backendServer === range?.owner && startedAt === range.ownerStartedAt,
+			(server) => range && isHeldBy(range, server),
 		);
 		if (!owner) {
 			return Left({
@@ -102,12 +102,6 @@
 	}
 
 	#serving({service}: RoutedService): readonly ListedServer[] {
-		const {servers = [], evacuated} = this.view.view.value;
-		return servers.filter(
-			(server) =>
-				server.service === service &&
-				!server.draining &&
-				!evacuated.has(server.failureDomain),
-		);
+		return this.view.view.value.inService.get(service) ?? [];
 	}
 }
--- a/packages/daemon/src/gateway/view-task.ts
+++ b/packages/daemon/src/gateway/view-task.ts
@@ -1,23 +1,24 @@
-/** What the daemon knows from the platform's store: routes, backend servers, domains out of service, key tables. */
+/** What the daemon knows from the platform's store: routes, backend servers, domains out of service, range tables. */
 import {
 	fold,
 	RouteTable,
+	serversInService,
 	type Checked,
 	type Clock,
 	type Fault,
-	type RangeTable,
 	type ListedServer,
 	type Random,
+	type RangeTable,
 } from '@kingcuproute/core';
 import {
 	configKind,
 	configName,
 	daemonsKind,
 	evacuationsKind,
-	rangeTablesKind,
-	parseRangeTable,
 	parseListedServer,
+	parseRangeTable,
 	parseRoutingConfig,
+	rangeTablesKind,
 	serversKind,
 	type ObjectStore,
 	type StoredObject,
@@ -33,7 +34,8 @@
 	readonly routes: RouteTable | undefined;
 	/** Undefined until they were read once. */
 	readonly servers: readonly ListedServer[] | undefined;
-	readonly evacuated: ReadonlySet<string>;
+	/** Those that may be given work, by service. */
+	readonly inService: ReadonlyMap<string, readonly ListedServer[]>;
 	readonly rangeTables: ReadonlyMap<string, RangeTable>;
 	/** Daemons that share the backend servers; at least one. */
 	readonly daemons: number;
@@ -42,7 +44,7 @@
 const nothing: GatewayView = {
 	routes: undefined,
 	servers: undefined,
-	evacuated: new Set(),
+	inService: new Map(),
 	rangeTables: new Map(),
 	daemons: 1,
 };
@@ -52,6 +54,7 @@
 	readonly view = new Topic<GatewayView>(nothing);
 	readonly rangeTableObjects: KindFollower;
 	readonly #followers: readonly KindFollower[];
+	#evacuated: ReadonlySet<string> = new Set();
 	/** Object and revision of what could not be read, so that each is logged once. */
 	readonly #unreadable = new Map<string, number>();
 
@@ -77,7 +80,8 @@
 			this.#configure(objects);
 		});
 		servers.objects.subscribe((objects) => {
-			this.#set({servers: this.#read(serversKind, objects, parseListedServer)});
+			const listed = this.#read(serversKind, objects, parseListedServer);
+			this.#set({servers: listed, inService: this.#inService(listed)});
 		});
 		evacuations.objects.subscribe((objects) => {
 			this.#evacuate(new Set(objects?.keys()));
@@ -139,7 +143,12 @@
 	#evacuate(evacuated: ReadonlySet<string>): void {
 		const failureDomains = [...evacuated].join(',');
 		this.log.info('domains-out', {failureDomains});
-		this.#set({evacuated});
+		this.#evacuated = evacuated;
+		this.#set({inService: this.#inService(this.view.value.servers ?? [])});
+	}
+
+	#inService(servers: readonly ListedServer[]) {
+		return serversInService(servers, this.#evacuated);
 	}
 
 	#read<T>(
--- a/packages/fakes/src/deployment/child.ts
+++ b/packages/fakes/src/deployment/child.ts
@@ -24,8 +24,11 @@
 		readonly name: string,
 		file: string,
 		args: readonly string[],
+		/** Variables beside those of this process. */
+		variables: Readonly<Record<string, string>> = {},
 	) {
 		this.#process = spawn(process.execPath, [file, ...args], {
+			env: {...process.env, ...variables},
 			stdio: ['ignore', 'pipe', 'pipe'],
 		});
 		running.add(this.#process);
--- /dev/null
+++ b/packages/fakes/test/gateway-site.ts
@@ -0,0 +1,204 @@
+/** One daemon as it runs on the platform, between a stand-in store, stand-in servers and a caller. */
+import {once} from 'node:events';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {
+	createServer,
+	type IncomingMessage,
+	type Server,
+	type ServerResponse,
+} from 'node:http';
+import {createRequire} from 'node:module';
+import {type AddressInfo} from 'node:net';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {settingsVariable} from '@kingcuproute/platform';
+import {type ExecutionContext} from 'ava'; // eslint-disable-line ava/use-test
+import {request} from 'undici';
+import {Child} from '../src/deployment/child.js';
+import {StandInStore} from '../src/platform/stand-in-store.js';
+import {until} from './requests-fixture.js';
+
+const {resolve} = createRequire(import.meta.url);
+const main = path.join(
+	path.dirname(resolve('@kingcuproute/daemon')),
+	'gateway/main.js',
+);
+
+const routes = {
+	columns: [
+		'name',
+		'host',
+		'pathPrefix',
+		'routeKind',
+		'timeoutMs',
+		'targetLatencyMs',
+		'priority',
+		'maxAttempts',
+		'service',
+	],
+	rows: [
+		['r1', 'shop.example', '/read/', 'safe', 30_000, 600, 2, 2, 'plain'],
+		['r2', 'shop.example', '/book/', 'unsafe', 30_000, 600, 1, 2, 'plain'],
+		['r3', 'shop.example', '/clock/', 'safe', 30_000, 600, 1, 2, 'keyed'],
+	],
+};
+const services = {
+	columns: ['name', 'healthPath', 'maxConns', 'coldPerS', 'warmupS', 'sharded'],
+	rows: [
+		['plain', '/health', 130, 2.8, 3, null],
+		['keyed', '/health', 130, 2.8, 3, true],
+	],
+};
+const limits = {
+	maxHeaderBytes: 16_384,
+	maxBodyBytes: 1_000_000,
+	headerTimeoutMs: 3000,
+	idleTimeoutMs: 15_000,
+};
+const config = {version: 'r1', routes, services, limits};
+
+/** What a backend server does about a request. */
+export type Act = (
+	req: IncomingMessage,
+	res: ServerResponse,
+	body: string,
+) => void;
+
+/** Backend servers with a store and one daemon before them. */
+export class Site {
+	readonly store = new StandInStore();
+	entry = '';
+	readiness = '';
+	#daemon: Child | undefined;
+	readonly #servers: Server[] = [];
+	readonly #folder = mkdtempSync(path.join(tmpdir(), 'gateway-'));
+
+	/** Adds a server that acts so on every request that is no order. */
+	async add(name: string, service: string, act: Act): Promise<void> {
+		const server = createServer((req, res) => {
+			void (async () => {
+				const parts = await req.toArray();
+				if (req.url!.startsWith('/kingcuproute/')) {
+					res.writeHead(200, {'x-kingcuproute-handover': 'h'});
+					res.end();
+				} else {
+					act(req, res, parts.join(''));
+				}
+			})();
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		this.#servers.push(server);
+		const {port} = server.address() as AddressInfo;
+		this.store.put(
+			'servers',
+			name,
+			{
+				addr: `127.0.0.1:${port}`,
+				born: 1,
+				info: {service, version: 'v1', zone: 'a', slots: 3},
+			},
+			{state: 'ready', seq: 1, coldLeftMs: 0},
+		);
+	}
+
+	async start(): Promise<void> {
+		const address = await this.store.start();
+		this.store.put('config', 'main', config);
+		const file = path.join(this.#folder, 'settings.conf');
+		const settings = [
+			'self.node=front-a-1',
+			'self.zone=a',
+			'self.region=r',
+			'self.limits.memoryMb=350',
+			'network.listen.front=127.0.0.1:0',
+			'network.listen.ready=127.0.0.1:0',
+			'platform.heartbeatMs=870',
+			`platform.platform.addr=${address}`,
+			'platform.platform.writesPerS=400',
+			'platform.platform.readsPerS=2000',
+			'terms.bounds.graceS=6',
+			'terms.bounds.holdMaxMs=10000',
+			'terms.bounds.retryBudgetRatio=0.2',
+			'terms.bounds.retryBudgetSlack=62',
+			'terms.bounds.budgetWindowS=10',
+		];
+		writeFileSync(file, settings.join('\n'));
+		this.#daemon = new Child('gateway', main, [], {[settingsVariable]: file});
+		const line = await this.#daemon.line('event=listening');
+		[, this.entry, this.readiness] =
+			/entry=(\S+) readiness=(\S+)/.exec(line) ?? [];
+		await until(async () => (await this.isReady()) === 200);
+	}
+
+	async isReady(): Promise<number> {
+		const res = await request(`http://${this.readiness}/kingcuproute/ready`);
+		await res.body.dump();
+		return res.statusCode;
+	}
+
+	async ask(at: string, fields: Record<string, string> = {}, body?: string) {
+		const res = await request(`http://${this.entry}${at}`, {
+			method: body === undefined ? 'GET' : 'POST',
+			body,
+			headers: {
+				host: 'shop.example',
+				'x-kingcuproute-request-id': `q${at}`,
+				'x-kingcuproute-deadline-ms': '20000',
+				...fields,
+			},
+		});
+		return {
+			status: res.statusCode,
+			headers: res.headers,
+			text: await res.body.text(),
+		};
+	}
+
+	/** The status alone. */
+	async status(...asked: Parameters<Site['ask']>): Promise<number> {
+		const {status} = await this.ask(...asked);
+		return status;
+	}
+
+	/** Asks the daemon to stop; resolves with its exit code. */
+	async term(): Promise<number | undefined> {
+		return this.#daemon!.end('SIGTERM');
+	}
+
+	async stop(): Promise<void> {
+		await this.#daemon?.end('SIGKILL');
+		this.store.stop();
+		for (const server of this.#servers) {
+			server.closeAllConnections();
+			server.close();
+		}
+
+		rmSync(this.#folder, {recursive: true});
+	}
+}
+
+/** A site that is taken down with the test. */
+export function site(t: ExecutionContext): Site {
+	const made = new Site();
+	t.teardown(async () => made.stop());
+	return made;
+}
+
+/** Answers as a sound server does. */
+export function answer(
+	req: IncomingMessage,
+	res: ServerResponse,
+	body: string,
+	fields: Record<string, string> = {},
+): void {
+	res.writeHead(200, {
+		'x-kingcuproute-request-id': String(
+			req.headers['x-kingcuproute-request-id'],
+		),
+		'x-kingcuproute-server-stamp': 'signed',
+		'x-kingcuproute-server-load': '1,0,3',
+		...fields,
+	});
+	res.end(body);
+}
--- a/packages/platform/src/http-object-store.ts
+++ b/packages/platform/src/http-object-store.ts
@@ -2,7 +2,7 @@
 import {type Clock, type Millis} from '@kingcuproute/core';
 import {Left, Right, type Either} from 'purify-ts';
 import {Agent, request} from 'undici';
-import {z} from 'zod';
+import {parseChanges, parseObject, parsePage} from './object-bodies.js';
 import {type ObjectError} from './object-error.js';
 import {
 	ObjectStore,
@@ -22,26 +22,6 @@
 const maxPages = 200;
 const messageLen = 200;
 
-const objectSchema = z.looseObject({
-	metadata: z.looseObject({
-		name: z.string(),
-		rev: z.number().int().nonnegative(),
-	}),
-	spec: z.unknown().optional(),
-	status: z.unknown().optional(),
-});
-const pageSchema = z.object({
-	items: z.array(z.unknown()),
-	more: z.boolean().optional(),
-	storeRevision: z.number().int().nonnegative(),
-});
-const changesSchema = z.object({
-	events: z.array(
-		z.object({removed: z.boolean().optional(), object: z.unknown()}),
-	),
-	storeRevision: z.number().int().nonnegative(),
-});
-
 type Call = {
 	readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
 	readonly path: string;
@@ -76,7 +56,7 @@
 		for (let pages = 0; pages < maxPages; pages++) {
 			const page = await this.#call(
 				{method: 'GET', path: pathOf(kind, undefined, after ? {after} : {})},
-				(body) => pageSchema.parse(body),
+				parsePage,
 			);
 			if (page.isLeft()) {
 				return Left(page.extract());
@@ -91,7 +71,7 @@
 				break;
 			}
 
-			after = nameOf(items.at(-1)) ?? after;
+			after = parseObject(items.at(-1))?.name ?? after;
 		}
 
 		return Right({revision: revision ?? 0, objects});
@@ -108,14 +88,7 @@
 			path: pathOf(kind, undefined, query),
 			timeoutMs: waitMs + watchSlackMs,
 		};
-		return this.#call(call, (body) => {
-			const {events, storeRevision} = changesSchema.parse(body);
-			const changes = events.flatMap(({object, removed = false}) => {
-				const held = parseObject(object);
-				return held ? [{object: held, removed}] : [];
-			});
-			return {revision: storeRevision, changes};
-		});
+		return this.#call(call, parseChanges);
 	}
 
 	override async write({
@@ -204,20 +177,6 @@
 	return asked === '' ? path : `${path}?${asked}`;
 }
 
-function parseObject(body: unknown): StoredObject | undefined {
-	const parsed = objectSchema.safeParse(body);
-	if (!parsed.success) {
-		return undefined;
-	}
-
-	const {metadata, spec, status, ...rest} = parsed.data;
-	return {name: metadata.name, revision: metadata.rev, spec, status, rest};
-}
-
-function nameOf(item: unknown): string | undefined {
-	return parseObject(item)?.name;
-}
-
 function refusal(call: Call, status: number, text: string): ObjectError {
 	const message = `${call.method} ${call.path}: status ${status}: ${text.slice(0, messageLen)}`;
 	switch (status) {
