Drop moves of a former lease, name the server in key orders, keep resets errors

Ruled out: two keepers at once, a fence given twice. Change: a move has to be one of the plan in force; orders name their server; resets stay errors. A keeper that hears of another one's beat gives its lease up, and takes its own unanswered beat for done once the store shows it. Conclusion: the three causes are gone in the tests.

--- a/packages/daemon/src/gateway/keeper-lease.ts
+++ b/packages/daemon/src/gateway/keeper-lease.ts
@@ -7,9 +7,11 @@
 import {
 	keepersKind,
 	parseKeeper,
+	shownError,
 	type ObjectStore,
 	type StoredObject,
 } from '@kingcuproute/platform';
+import {type Log} from '../log/log.js';
 
 /** A third of the lease: two beats may be lost. */
 const beatMs: Millis = 1000;
@@ -24,7 +26,12 @@
 	#held: StoredObject | undefined;
 	#changedAt: Millis;
 	#until: Millis = -Infinity;
-	#beatAt: Millis = -Infinity;
+	/** The newest beat, and when it was sent. */
+	#sent: {readonly beat: number; readonly at: Millis} = {
+		beat: 0,
+		at: -Infinity,
+	};
+
 	#writing = false;
 	#wallLead: Millis;
 
@@ -33,6 +40,7 @@
 		private readonly vm: string,
 		private readonly store: ObjectStore,
 		private readonly clock: Clock,
+		private readonly log: Log,
 	) {
 		this.#changedAt = clock.now();
 		this.#wallLead = clock.wall() - clock.now();
@@ -46,16 +54,25 @@
 
 	/** Takes in the lease's object as the store has it; undefined while there is none. */
 	heard(object: StoredObject | undefined): void {
-		if ((object?.revision ?? 0) > (this.#held?.revision ?? 0)) {
-			this.#held = object;
-			this.#changedAt = this.clock.now();
+		if (!object || object.revision <= (this.#held?.revision ?? 0)) {
+			return;
+		}
+
+		this.#held = object;
+		this.#changedAt = this.clock.now();
+		const keeper = parseKeeper(object.spec).orDefault({vm: '', beat: 0});
+		if (keeper.vm !== this.vm) {
+			this.#until = -Infinity;
+		} else if (keeper.beat === this.#sent.beat) {
+			// The answer to the beat may be lost: the store has it all the same.
+			this.#until = this.#sent.at + leaseMs;
 		}
 	}
 
 	/** Beats, or takes a lease that has lapsed; to be called every 100 ms or so. Tells whether it was taken just now. */
 	async tend(): Promise<boolean> {
 		const now = this.clock.now();
-		const mayBeat = now - this.#beatAt >= beatMs;
+		const mayBeat = now - this.#sent.at >= beatMs;
 		if (this.#writing || !mayBeat || !(this.isHeld || this.#isFree(now))) {
 			return false;
 		}
@@ -74,27 +91,27 @@
 	}
 
 	async #beat(vm: string): Promise<void> {
-		const sentAt = this.clock.now();
-		this.#beatAt = sentAt;
+		const beat = Math.max(this.#sent.beat + 1, Math.round(this.clock.wall()));
+		this.#sent = {beat, at: this.clock.now()};
 		this.#writing = true;
 		const written = await this.store.write({
 			kind: keepersKind,
 			name: this.service,
 			revision: this.#held?.revision,
-			spec: {vm, beat: Math.round(this.clock.wall())},
+			spec: {vm, beat},
 		});
 		this.#writing = false;
 		fold(
 			written,
 			(error) => {
+				const {service, log} = this;
+				log.warn('beat-failed', {service, error: shownError(error)});
 				if (error.kind === 'conflict') {
-					this.#until = -Infinity;
 					this.heard(error.held);
 				}
 			},
 			(object) => {
 				this.heard(object);
-				this.#until = vm === '' ? -Infinity : sentAt + leaseMs;
 			},
 		);
 	}
@@ -114,6 +131,7 @@
 		const lead = this.clock.wall() - this.clock.now();
 		if (Math.abs(lead - this.#wallLead) > stoppedMs) {
 			this.#until = -Infinity;
+			this.#sent = {...this.#sent, at: -Infinity};
 			this.#changedAt = this.clock.now();
 		}
 
--- a/packages/daemon/src/gateway/keepers-task.ts
+++ b/packages/daemon/src/gateway/keepers-task.ts
@@ -88,7 +88,13 @@
 		const {store, orders, clock, log, view} = this;
 		const listed = () =>
 			(view.view.value.servers ?? []).filter((one) => one.service === service);
-		const lease = new KeeperLease(service, this.deployment.vm, store, clock);
+		const lease = new KeeperLease(
+			service,
+			this.deployment.vm,
+			store,
+			clock,
+			log,
+		);
 		const keeper = new KeyKeeper({
 			service,
 			lease,
--- a/packages/daemon/src/gateway/key-grants.ts
+++ b/packages/daemon/src/gateway/key-grants.ts
@@ -40,6 +40,8 @@
 	/** When no lease given to it can last any more. */
 	leaseOverAt: Millis;
 	renewedAt: Millis;
+	/** Nothing runs any more where it did. */
+	ended: boolean;
 	/** Until when a grant without an answer may still be taken. */
 	unsureUntil: Millis;
 	/** Grants that are not answered yet. */
@@ -64,7 +66,7 @@
 	renew(server: ListedServer, ranges: readonly KeyRange[]): void {
 		const now = this.means.clock.now();
 		const run = this.#run(server.backendServer, server.startedAt);
-		if (ranges.length > 0 && now - run.renewedAt >= renewMs) {
+		if (ranges.length > 0 && !run.ended && now - run.renewedAt >= renewMs) {
 			run.renewedAt = now;
 			for (const range of ranges) {
 				this.give(server, range);
@@ -107,7 +109,7 @@
 		const {clock, lease} = this.means;
 		for (;;) {
 			const leftMs = run.leaseOverAt - clock.now();
-			if (leftMs <= 0 || !lease.isHeld) {
+			if (run.ended || leftMs <= 0 || !lease.isHeld) {
 				return;
 			}
 
@@ -125,7 +127,7 @@
 			return;
 		}
 
-		const {backendServer, startedAt, address} = server;
+		const {backendServer, startedAt} = server;
 		const run = this.#run(backendServer, startedAt);
 		run.leaseOverAt = clock.now() + longestLeaseMs;
 		const order = {
@@ -135,7 +137,7 @@
 			leaseMs: keyLeaseMs,
 			...(handover !== undefined && {handover}),
 		};
-		const end = await orders.grant(address, order, orderTimeoutMs);
+		const end = await orders.grant(server, order, orderTimeoutMs);
 		if (end.kind === 'taken') {
 			return;
 		}
@@ -145,9 +147,8 @@
 		log.warn('grant-failed', {...keys, end: end.kind, message});
 		if (end.kind === 'unknown') {
 			run.unsureUntil = clock.now() + longestLeaseMs;
-		} else if (end.kind === 'unreachable') {
-			// Nothing runs at the address: what held the keys there has ended.
-			run.leaseOverAt = clock.now();
+		} else if (end.kind === 'ended') {
+			run.ended = true;
 		}
 	}
 
@@ -170,8 +171,9 @@
 		// A grant still on its way must not be taken after the release.
 		await Promise.all(run.inFlight);
 		const order = {from, to, fence};
-		const end = await orders.release(server.address, order, releaseTimeoutMs);
+		const end = await orders.release(server, order, releaseTimeoutMs);
 		log.info('keys-released', {...keys, end: end.kind});
+		run.ended ||= end.kind === 'ended';
 		return end.kind === 'taken' && clock.now() >= run.unsureUntil
 			? {handover: end.handover}
 			: undefined;
@@ -184,6 +186,7 @@
 			run = {
 				leaseOverAt: -Infinity,
 				renewedAt: -Infinity,
+				ended: false,
 				unsureUntil: -Infinity,
 				inFlight: new Set(),
 			};
--- a/packages/daemon/src/gateway/key-keeper.ts
+++ b/packages/daemon/src/gateway/key-keeper.ts
@@ -19,6 +19,7 @@
 	parseRangeTable,
 	rangeTablesKind,
 	rangeTableSpec,
+	shownError,
 	type ObjectStore,
 	type StoredObject,
 } from '@kingcuproute/platform';
@@ -129,8 +130,7 @@
 		return fold(
 			written,
 			(error) => {
-				const message = 'message' in error ? error.message : undefined;
-				log.warn('table-not-written', {service, end: error.kind, message});
+				log.warn('table-not-written', {service, error: shownError(error)});
 				if (error.kind === 'conflict') {
 					this.heard(error.held);
 				}
@@ -172,11 +172,11 @@
 		}
 	}
 
-	/** Gets the move's keys free of their holder. */
+	/** Gets the move's keys free of their holder; a move planned under a former lease is dropped. */
 	async #free(move: KeyMove): Promise<void> {
 		const {from, to, holder} = move;
 		const handover = holder && (await this.#grants.takeBack(holder, from, to));
-		if (this.means.lease.isHeld) {
+		if (this.#moving.has(move) && this.means.lease.isHeld) {
 			this.#released.push({move, handover});
 		} else {
 			this.#moving.delete(move);
@@ -196,7 +196,8 @@
 
 		// What fails is tried again as it is, since the first try may still land.
 		const written = (await this.#put(table)) || this.#has(table);
-		if (written && this.means.lease.isHeld) {
+		const isCurrent = batch.every(({move}) => this.#moving.has(move));
+		if (written && isCurrent && this.means.lease.isHeld) {
 			this.#released = this.#released.slice(batch.length);
 			this.#give(batch, table);
 			for (const {move} of batch) {
--- a/packages/daemon/src/gateway/kind-follower.ts
+++ b/packages/daemon/src/gateway/kind-follower.ts
@@ -1,7 +1,7 @@
 /** Keeps a copy of every object of one kind in the platform's store, by one list and long polls from there on. */
 import {fold, type Clock, type Millis, type Random} from '@kingcuproute/core';
 import {
-	type ObjectError,
+	shownError,
 	type ObjectStore,
 	type StoredObject,
 } from '@kingcuproute/platform';
@@ -59,7 +59,7 @@
 		const listing = await this.means.store.list(this.kind);
 		return fold(
 			listing,
-			(error): string | undefined => messageOf(error),
+			(error): string | undefined => shownError(error),
 			({revision, objects}) => {
 				this.#revision = revision;
 				this.objects.publish(
@@ -80,7 +80,7 @@
 					return undefined;
 				}
 
-				return messageOf(error);
+				return shownError(error);
 			},
 			({revision, changes}) => {
 				this.#revision = Math.max(since, revision);
@@ -121,7 +121,3 @@
 		}
 	}
 }
-
-function messageOf(error: ObjectError): string {
-	return 'message' in error ? error.message : error.kind;
-}
--- a/packages/daemon/src/requests/server-connections.ts
+++ b/packages/daemon/src/requests/server-connections.ts
@@ -5,13 +5,14 @@
  * Those that were opened for another share of a server's connections are retired too.
  */
 import {type Clock, type Millis} from '@kingcuproute/core';
-import {Pool, type Dispatcher} from 'undici';
+import {buildConnector, Pool, type Dispatcher} from 'undici';
 import {type Settings} from '../settings/settings.js';
 
 /** Connections to one address are not replaced again within this time. */
 const minRetireMs: Millis = 200;
 const tcpKeepAliveMs: Millis = 1000;
 const closeThresholdMs: Millis = 500;
+const resetCode = 'SERVER_RESET';
 
 /** Bounds of connections to backend servers. */
 export type ConnectionBounds = Pick<
@@ -90,11 +91,30 @@
 			keepAliveMaxTimeout: serverIdleMs,
 			keepAliveTimeoutThreshold: closeThresholdMs,
 			maxHeaderSize: maxHeaderLen,
-			connect: {
-				timeout: connectMs,
-				keepAlive: true,
-				keepAliveInitialDelay: tcpKeepAliveMs,
-			},
+			connect: connector(connectMs),
 		});
 	}
 }
+
+/**
+ * Opens connections whose resets are always errors. Undici takes one for the proper
+ * end of an answer without a length, by the error's code.
+ */
+function connector(timeout: Millis): buildConnector.connector {
+	const connect = buildConnector({
+		timeout,
+		keepAlive: true,
+		keepAliveInitialDelay: tcpKeepAliveMs,
+	});
+	return (options, callback) => {
+		connect(options, (...result) => {
+			const [, socket] = result;
+			socket?.prependListener('error', (error: NodeJS.ErrnoException) => {
+				if (error.code === 'ECONNRESET') {
+					error.code = resetCode;
+				}
+			});
+			callback(...result);
+		});
+	};
+}
--- a/packages/daemon/test/gateway-keeper.test.ts
+++ b/packages/daemon/test/gateway-keeper.test.ts
@@ -7,6 +7,7 @@
 import {
 	KeyOrders,
 	ObjectStore,
+	type Addressee,
 	type ObjectError,
 	type ObjectWrite,
 	type OrderEnd,
@@ -25,6 +26,8 @@
 	readonly objects = new Map<string, Rev>();
 	/** Daemons that do not reach the store. */
 	readonly cut = new Set<string>();
+	/** Daemons whose writes are done and get no answer. */
+	readonly unanswered = new Set<string>();
 	#revision = 1;
 
 	constructor(
@@ -60,10 +63,17 @@
 			});
 		}
 
-		owner.#revision++;
-		const next = {revision: owner.#revision, spec};
-		owner.objects.set(path, next);
-		return Right(stored(path, next));
+		const next = owner.put(path, spec);
+		return owner.unanswered.has(this.vm)
+			? Left<ObjectError>({kind: 'unknown', message: 'no answer'})
+			: Right(stored(path, next));
+	}
+
+	put(path: string, spec: unknown): Rev {
+		this.#revision++;
+		const next = {revision: this.#revision, spec};
+		this.objects.set(path, next);
+		return next;
 	}
 
 	override async remove() {
@@ -86,13 +96,15 @@
 class HoldingServers extends KeyOrders {
 	readonly holds = new Map<string, Hold[]>();
 	readonly silent = new Set<string>();
+	/** What runs at an address in place of the server of that name. */
+	readonly replaced = new Map<string, string>();
 
 	constructor(private readonly timers: Timers) {
 		super();
 	}
 
 	override async grant(
-		address: string,
+		{address, backendServer}: Addressee,
 		{from, to, fence, leaseMs}: Parameters<KeyOrders['grant']>[1],
 		timeoutMs: Millis,
 	): Promise<OrderEnd> {
@@ -101,6 +113,10 @@
 			return {kind: 'unknown', message: 'no answer'};
 		}
 
+		if (this.#isAnother(address, backendServer)) {
+			return {kind: 'ended'};
+		}
+
 		const rest = this.#rest(address, from, to);
 		const until = this.timers.now() + leaseMs;
 		this.holds.set(address, [...rest, {from, to, fence, until}]);
@@ -108,7 +124,7 @@
 	}
 
 	override async release(
-		address: string,
+		{address, backendServer}: Addressee,
 		{from, to}: Parameters<KeyOrders['release']>[1],
 		timeoutMs: Millis,
 	): Promise<OrderEnd> {
@@ -117,6 +133,10 @@
 			return {kind: 'unknown', message: 'no answer'};
 		}
 
+		if (this.#isAnother(address, backendServer)) {
+			return {kind: 'ended'};
+		}
+
 		this.holds.set(address, this.#rest(address, from, to));
 		return {kind: 'taken', handover: `from ${address}`};
 	}
@@ -133,6 +153,10 @@
 			.map(([address]) => address);
 	}
 
+	#isAnother(address: string, backendServer: string): boolean {
+		return (this.replaced.get(address) ?? backendServer) !== backendServer;
+	}
+
 	#rest(address: string, from: number, to: number): Hold[] {
 		return (this.holds.get(address) ?? []).flatMap((hold) =>
 			to < hold.from || from > hold.to
@@ -164,10 +188,11 @@
 	const shared = new MemoryStore('');
 	const orders = new HoldingServers(timers);
 	let servers = names.map((name) => server(name));
+	let listed = servers;
 	const log = Log.to({level: 'silent', routingSample: 1}, {});
 	const daemons = vms.map((vm) => {
 		const store = new MemoryStore(vm, shared);
-		const lease = new KeeperLease('s', vm, store, timers);
+		const lease = new KeeperLease('s', vm, store, timers, log);
 		const keeper = new KeyKeeper({
 			service: 's',
 			lease,
@@ -176,7 +201,7 @@
 			clock: timers,
 			log,
 			servers: () => servers,
-			listed: () => servers,
+			listed: () => listed,
 		});
 		keeper.start();
 		return {vm, lease, keeper};
@@ -200,8 +225,11 @@
 		orders,
 		daemons,
 		cut: shared.cut,
-		list(next: readonly string[]) {
+		unanswered: shared.unanswered,
+		put: (path: string, spec: unknown) => shared.put(path, spec),
+		list(next: readonly string[], leaving: readonly string[] = []) {
 			servers = next.map((name) => server(name));
+			listed = [...servers, ...leaving.map((name) => server(name))];
 		},
 		/** Lets time pass and checks at each step what must always hold. */
 		async pass(ms: Millis, check: () => void) {
@@ -214,7 +242,7 @@
 	};
 }
 
-const someKeys = [0, 1, 20_000, 33_000, 50_000, 65_535];
+const someKeys = [0, 1, 20_000, 30_000, 33_000, 50_000, 60_000, 65_535];
 
 test('one daemon keeps the keys, and each key gets one holder', async (t) => {
 	const {orders, daemons, pass} = fleet(['x', 'y', 'z'], ['a', 'b']);
@@ -273,3 +301,43 @@
 	});
 	t.true(someKeys.every((key) => ['b', 'c'].includes(orders.holding(key)[0])));
 });
+
+test('a move that waited while the lease was lost and taken again is dropped', async (t) => {
+	const {orders, daemons, pass, list, put} = fleet(['x'], ['a', 'b']);
+	await pass(1500, () => undefined);
+	orders.silent.add('a');
+	list(['b', 'c'], ['a']);
+	await pass(200, () => undefined);
+	// Another daemon had the lease in between.
+	put('kingcuproute-keepers/s', {vm: '', beat: 1});
+	list(['b', 'c', 'd'], ['a']);
+	await pass(1500, () => undefined);
+	t.true(daemons[0].lease.isHeld);
+	await pass(12_000, () => {
+		t.true(someKeys.every((key) => orders.holding(key).length <= 1));
+	});
+	t.true(someKeys.every((key) => orders.holding(key).length === 1));
+});
+
+test('beats whose answers are lost keep the lease', async (t) => {
+	const {daemons, pass, unanswered} = fleet(['x', 'y'], ['a', 'b']);
+	await pass(1500, () => undefined);
+	const first = daemons.find(({lease}) => lease.isHeld)!;
+	unanswered.add(first.vm);
+	await pass(6000, () => {
+		t.true(first.lease.isHeld);
+	});
+});
+
+test("keys of a server whose address is another one's go on at once", async (t) => {
+	const {orders, pass, list} = fleet(['x'], ['a', 'b']);
+	await pass(1500, () => undefined);
+	orders.holds.set('a', []);
+	orders.replaced.set('a', 'd');
+	await pass(1500, () => {
+		t.deepEqual(orders.holds.get('a'), []);
+	});
+	list(['b']);
+	await pass(500, () => undefined);
+	t.true(someKeys.every((key) => orders.holding(key)[0] === 'b'));
+});
--- a/packages/fakes/test/gateway-site.ts
+++ b/packages/fakes/test/gateway-site.ts
@@ -79,7 +79,9 @@
 			void (async () => {
 				const parts = await req.toArray();
 				if (req.url!.startsWith('/kingcuproute/')) {
-					res.writeHead(200, {'x-kingcuproute-handover': 'h'});
+					const isMeant =
+						req.headers['x-kingcuproute-expect-instance'] === name;
+					res.writeHead(isMeant ? 200 : 421, {'x-kingcuproute-handover': 'h'});
 					res.end();
 				} else {
 					act(req, res, parts.join(''));
--- a/packages/fakes/test/gateway.test.ts
+++ b/packages/fakes/test/gateway.test.ts
@@ -70,6 +70,18 @@
 	t.is(await made.status('/book/x', {}, 'b'), 502);
 });
 
+test('an answer without a length that ends with its connection is whole', async (t) => {
+	const made = site(t);
+	await made.add('i-1', 'plain', (req, res, body) => {
+		res.useChunkedEncodingByDefault = false;
+		answer(req, res, body);
+	});
+	await made.start();
+	const {status, text} = await made.ask('/book/x', {}, 'all of it');
+	t.is(status, 200);
+	t.is(text, 'all of it');
+});
+
 test('a key is served by the one server that holds it', async (t) => {
 	const made = site(t);
 	const served = new Map<string, Set<string>>();
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -15,7 +15,12 @@
 	type Deployment,
 } from './deployment.js';
 export {HttpObjectStore} from './http-object-store.js';
-export {HttpKeyOrders, KeyOrders, type OrderEnd} from './key-orders.js';
+export {
+	HttpKeyOrders,
+	KeyOrders,
+	type Addressee,
+	type OrderEnd,
+} from './key-orders.js';
 export {
 	daemonsKind,
 	keepersKind,
@@ -26,7 +31,7 @@
 	type Keeper,
 } from './range-table-document.js';
 export {parseListedServer, serversKind} from './listed-servers.js';
-export {type ObjectError} from './object-error.js';
+export {shownError, type ObjectError} from './object-error.js';
 export {
 	ObjectStore,
 	type ObjectChange,
--- a/packages/platform/src/key-orders.ts
+++ b/packages/platform/src/key-orders.ts
@@ -1,7 +1,7 @@
 /** Orders to backend servers about the keys that they hold. */
-import {type Clock, type Millis} from '@kingcuproute/core';
+import {type Clock, type ListedServer, type Millis} from '@kingcuproute/core';
 import {Agent, request} from 'undici';
-import {answerFields} from './request-fields.js';
+import {answerFields, requestFields} from './request-fields.js';
 
 /** Keys, both ends inclusive, and the fence under which they are given or taken. */
 export type KeyOrder = {
@@ -23,21 +23,25 @@
 	| {readonly kind: 'outdated'}
 	/** The server may have taken the order, or may take it later. */
 	| {readonly kind: 'unknown'; readonly message: string}
-	/** Nothing listens at the address. */
-	| {readonly kind: 'unreachable'};
+	/** Nothing listens at the address, or another server does: the one meant has ended. */
+	| {readonly kind: 'ended'};
 
 const okStatus = 200;
 const conflictStatus = 409;
+const misdirectedStatus = 421;
+
+/** The server that an order is for. */
+export type Addressee = Pick<ListedServer, 'backendServer' | 'address'>;
 
 export abstract class KeyOrders {
 	abstract grant(
-		address: string,
+		server: Addressee,
 		order: GrantOrder,
 		timeoutMs: Millis,
 	): Promise<OrderEnd>;
 
 	abstract release(
-		address: string,
+		server: Addressee,
 		order: KeyOrder,
 		timeoutMs: Millis,
 	): Promise<OrderEnd>;
@@ -51,21 +55,21 @@
 	}
 
 	override async grant(
-		address: string,
+		server: Addressee,
 		{from, to, fence, leaseMs, handover}: GrantOrder,
 		timeoutMs: Millis,
 	): Promise<OrderEnd> {
 		const body = {from, target: to, fence, holdMs: leaseMs, handover};
-		return this.#order(address, 'grant', body, timeoutMs);
+		return this.#order(server, 'grant', body, timeoutMs);
 	}
 
 	override async release(
-		address: string,
+		server: Addressee,
 		{from, to, fence}: KeyOrder,
 		timeoutMs: Millis,
 	): Promise<OrderEnd> {
 		const body = {from, target: to, fence};
-		return this.#order(address, 'release', body, timeoutMs);
+		return this.#order(server, 'release', body, timeoutMs);
 	}
 
 	/** Ends its connections, so that the process can end. */
@@ -74,7 +78,7 @@
 	}
 
 	async #order(
-		address: string,
+		{backendServer, address}: Addressee,
 		order: 'grant' | 'release',
 		body: unknown,
 		timeoutMs: Millis,
@@ -87,7 +91,10 @@
 			const url = `http://${address}/kingcuproute/${order}`;
 			const res = await request(url, {
 				method: 'POST',
-				headers: {'content-type': 'application/json'},
+				headers: {
+					'content-type': 'application/json',
+					[requestFields.expectedServer]: backendServer,
+				},
 				body: JSON.stringify(body),
 				signal: abort.signal,
 				dispatcher: this.#agent,
@@ -100,6 +107,10 @@
 					return {kind: 'taken', handover: mark};
 				}
 
+				case misdirectedStatus: {
+					return {kind: 'ended'};
+				}
+
 				case conflictStatus: {
 					return {kind: 'outdated'};
 				}
@@ -111,7 +122,7 @@
 		} catch (error) {
 			const {code, message} = error as NodeJS.ErrnoException;
 			return code === 'ECONNREFUSED'
-				? {kind: 'unreachable'}
+				? {kind: 'ended'}
 				: {kind: 'unknown', message};
 		} finally {
 			cancel();
--- a/packages/platform/src/object-error.ts
+++ b/packages/platform/src/object-error.ts
@@ -11,3 +11,8 @@
 	| {readonly kind: 'refused'; readonly message: string}
 	/** No answer, or none that can be read: a write may still be carried out. */
 	| {readonly kind: 'unknown'; readonly message: string};
+
+/** How an error is shown in a log line. */
+export function shownError(error: ObjectError): string {
+	return 'message' in error ? error.message : error.kind;
+}
