Copy the batch of moves, see resets that come with an answer's last bytes

Cause: keys freed during a table's writing joined the batch that was already on its way; libuv reports a reset together with data as a plain end. Ruled out: a chunked answer cut short (its heads have no length at all). Change: a copy of the batch; an end without a peer is a reset. Faults of an exchange are caught; registration is retried; the burst of retries follows the number of daemons; long answers without a length are let go.

--- a/packages/core/src/requests/retry-budget.ts
+++ b/packages/core/src/requests/retry-budget.ts
@@ -26,6 +26,14 @@
 		return this.held >= 1;
 	}
 
+	/** The same budget that holds `burst` retries at most. */
+	within(burst: number): RetryBudget {
+		return new RetryBudget(
+			{...this.options, burst},
+			Math.min(burst, this.held),
+		);
+	}
+
 	/** After a request that succeeded. */
 	earned(): RetryBudget {
 		const {share, burst} = this.options;
--- a/packages/core/test/requests.test.ts
+++ b/packages/core/test/requests.test.ts
@@ -303,3 +303,11 @@
 	);
 	t.pass();
 });
+
+test('a retry budget that is narrowed holds no more, and one that is widened earns the rest', (t) => {
+	const narrowed = RetryBudget.of({share: 0.5, burst: 10}).within(2);
+	t.false(narrowed.spent().spent().hasOne);
+	const widened = narrowed.within(3).spent().spent();
+	t.false(widened.hasOne);
+	t.true(widened.earned().earned().hasOne);
+});
--- a/packages/daemon/src/gateway/gateway-entry-task.ts
+++ b/packages/daemon/src/gateway/gateway-entry-task.ts
@@ -1,5 +1,10 @@
 /** Takes callers' requests and the balancer's questions whether this daemon is ready. */
-import {createServer, type Server} from 'node:http';
+import {
+	createServer,
+	type IncomingMessage,
+	type Server,
+	type ServerResponse,
+} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {type Clock, type Random} from '@kingcuproute/core';
 import {type Address, type Deployment} from '@kingcuproute/platform';
@@ -11,6 +16,7 @@
 import {Task} from '../task/task.js';
 import {type ExchangeMeans} from './exchange-means.js';
 import {GatewayExchange} from './gateway-exchange.js';
+import {sendEnd} from './request-end.js';
 import {ServerPicks} from './server-picks.js';
 import {ViewTask} from './view-task.js';
 
@@ -33,8 +39,6 @@
 const endMs = 300;
 /** Half of what the fleet may resend stays unused, since its daemons do not count together. */
 const retryPart = 0.5;
-/** Of the fleet's slack, for one daemon of a dozen. */
-const slackShare = 0.05;
 
 @singleton()
 export class GatewayEntryTask extends Task {
@@ -54,9 +58,11 @@
 	) {
 		super();
 		const {retryShare, retrySlack} = deployment.bounds;
+		const burstOf = (daemons: number) =>
+			Math.max(1, Math.floor((retrySlack * retryPart) / daemons));
 		const budget = new Budget({
 			share: retryShare * retryPart,
-			burst: Math.max(1, Math.floor(retrySlack * slackShare)),
+			burst: burstOf(1),
 		});
 		const connections = new ServerConnections(connectionBounds, clock);
 		this.#means = {view, picks, connections, budget, clock, random, log};
@@ -66,13 +72,14 @@
 				this.#inFlight--;
 			});
 			res.shouldKeepAlive = !this.#stopping && res.shouldKeepAlive;
-			void new GatewayExchange(this.#means, req, res).run();
+			void this.#exchange(req, res);
 		});
 		this.#readiness = createServer((_req, res) => {
 			res.writeHead(this.isReady ? 200 : 503);
 			res.end();
 		});
-		view.view.subscribe(({routes, servers = []}) => {
+		view.view.subscribe(({routes, servers = [], daemons}) => {
+			budget.limit(burstOf(daemons));
 			connections.keep(new Set(servers.map(({address}) => address)));
 			if (routes) {
 				const {idleMs, headerMs} = routes.config.limits;
@@ -113,6 +120,16 @@
 		this.log.info('entry-stopped', {cut: this.#inFlight});
 		this.#readiness.close();
 	}
+
+	async #exchange(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		try {
+			await new GatewayExchange(this.#means, req, res).run();
+		} catch (error) {
+			const {message, stack} = error as Error;
+			this.log.error('exchange-failed', {message, stack});
+			sendEnd(res, {reason: 'internal', notRun: false});
+		}
+	}
 }
 
 function shown(server: Server): string {
--- a/packages/daemon/src/gateway/keeper-lease.ts
+++ b/packages/daemon/src/gateway/keeper-lease.ts
@@ -22,6 +22,12 @@
 /** A jump of the wall clock against the steady one beyond this means that the VM may have stood still. */
 const stoppedMs: Millis = 150;
 
+export type KeeperLeaseMeans = {
+	readonly store: ObjectStore;
+	readonly clock: Clock;
+	readonly log: Log;
+};
+
 export class KeeperLease {
 	#held: StoredObject | undefined;
 	#changedAt: Millis;
@@ -38,10 +44,9 @@
 	constructor(
 		private readonly service: string,
 		private readonly vm: string,
-		private readonly store: ObjectStore,
-		private readonly clock: Clock,
-		private readonly log: Log,
+		private readonly means: KeeperLeaseMeans,
 	) {
+		const {clock} = means;
 		this.#changedAt = clock.now();
 		this.#wallLead = clock.wall() - clock.now();
 	}
@@ -49,7 +54,7 @@
 	/** Whether an order that is sent now is under the lease. */
 	get isHeld(): boolean {
 		this.#distrustAfterStop();
-		return this.clock.now() < this.#until;
+		return this.means.clock.now() < this.#until;
 	}
 
 	/** Takes in the lease's object as the store has it; undefined while there is none. */
@@ -59,7 +64,7 @@
 		}
 
 		this.#held = object;
-		this.#changedAt = this.clock.now();
+		this.#changedAt = this.means.clock.now();
 		const keeper = parseKeeper(object.spec).orDefault({vm: '', beat: 0});
 		if (keeper.vm !== this.vm) {
 			this.#until = -Infinity;
@@ -71,7 +76,7 @@
 
 	/** Beats, or takes a lease that has lapsed; to be called every 100 ms or so. Tells whether it was taken just now. */
 	async tend(): Promise<boolean> {
-		const now = this.clock.now();
+		const now = this.means.clock.now();
 		const mayBeat = now - this.#sent.at >= beatMs;
 		if (this.#writing || !mayBeat || !(this.isHeld || this.#isFree(now))) {
 			return false;
@@ -91,10 +96,13 @@
 	}
 
 	async #beat(vm: string): Promise<void> {
-		const beat = Math.max(this.#sent.beat + 1, Math.round(this.clock.wall()));
-		this.#sent = {beat, at: this.clock.now()};
+		const beat = Math.max(
+			this.#sent.beat + 1,
+			Math.round(this.means.clock.wall()),
+		);
+		this.#sent = {beat, at: this.means.clock.now()};
 		this.#writing = true;
-		const written = await this.store.write({
+		const written = await this.means.store.write({
 			kind: keepersKind,
 			name: this.service,
 			revision: this.#held?.revision,
@@ -104,8 +112,10 @@
 		fold(
 			written,
 			(error) => {
-				const {service, log} = this;
-				log.warn('beat-failed', {service, error: shownError(error)});
+				this.means.log.warn('beat-failed', {
+					service: this.service,
+					error: shownError(error),
+				});
 				if (error.kind === 'conflict') {
 					this.heard(error.held);
 				}
@@ -128,11 +138,11 @@
 	}
 
 	#distrustAfterStop(): void {
-		const lead = this.clock.wall() - this.clock.now();
+		const lead = this.means.clock.wall() - this.means.clock.now();
 		if (Math.abs(lead - this.#wallLead) > stoppedMs) {
 			this.#until = -Infinity;
 			this.#sent = {...this.#sent, at: -Infinity};
-			this.#changedAt = this.clock.now();
+			this.#changedAt = this.means.clock.now();
 		}
 
 		this.#wallLead = lead;
--- a/packages/daemon/src/gateway/keepers-task.ts
+++ b/packages/daemon/src/gateway/keepers-task.ts
@@ -1,8 +1,9 @@
 /** Runs a keeper for each service divided by key. */
-import {type Clock, type Random} from '@kingcuproute/core';
+import {type Clock, type Millis, type Random} from '@kingcuproute/core';
 import {
 	daemonsKind,
 	keepersKind,
+	shownError,
 	type Deployment,
 	type KeyOrders,
 	type ObjectStore,
@@ -15,12 +16,16 @@
 import {KindFollower} from './kind-follower.js';
 import {ViewTask} from './view-task.js';
 
+/** Between two tries to register: all daemons try at once after an outage of the store. */
+const registerRetryMs: Millis = 1000;
+
 type Kept = {readonly lease: KeeperLease; readonly keeper: KeyKeeper};
 
 @singleton()
 export class KeepersTask extends Task {
 	readonly #keepers = new Map<string, Kept>();
 	readonly #leases: KindFollower;
+	#stopped = false;
 
 	constructor(
 		@inject(ViewTask) private readonly view: ViewTask,
@@ -28,7 +33,7 @@
 		@inject('KeyOrders') private readonly orders: KeyOrders,
 		@inject('Deployment') private readonly deployment: Deployment,
 		@inject('Clock') private readonly clock: Clock,
-		@inject('Random') random: Random,
+		@inject('Random') private readonly random: Random,
 		@inject(Log) private readonly log: Log,
 	) {
 		super();
@@ -55,22 +60,46 @@
 			this.#follow();
 		});
 		this.#leases.start();
-		await this.store.write({
-			kind: daemonsKind,
-			name: this.deployment.vm,
-			revision: undefined,
-			spec: {failureDomain: this.deployment.failureDomain},
-		});
+		void this.#register();
 	}
 
 	override async stop(): Promise<void> {
+		this.#stopped = true;
 		this.#leases.stop();
 		await Promise.all([
-			this.store.remove(daemonsKind, this.deployment.vm),
+			this.#deregister(),
 			...[...this.#keepers.values()].map(async ({keeper}) => keeper.stop()),
 		]);
 	}
 
+	/** Enters this daemon among those that share the backend servers. */
+	async #register(): Promise<void> {
+		const {vm, failureDomain} = this.deployment;
+		while (!this.#stopped) {
+			const written = await this.store.write({
+				kind: daemonsKind,
+				name: vm,
+				revision: undefined,
+				spec: {failureDomain},
+			});
+			const error = written.isLeft() ? written.extract() : undefined;
+			// The entry of this VM's former run serves as well.
+			if (!error || error.kind === 'conflict') {
+				return;
+			}
+
+			this.log.warn('not-registered', {error: shownError(error)});
+			await this.clock.sleep(this.random.jitter(registerRetryMs));
+		}
+	}
+
+	async #deregister(): Promise<void> {
+		const removed = await this.store.remove(daemonsKind, this.deployment.vm);
+		removed.ifLeft((error) => {
+			this.log.warn('not-deregistered', {error: shownError(error)});
+		});
+	}
+
 	#follow(): void {
 		const {routes, servers} = this.view.view.value;
 		if (!routes || !servers || !this.#leases.objects.value) {
@@ -88,13 +117,11 @@
 		const {store, orders, clock, log, view} = this;
 		const listed = () =>
 			(view.view.value.servers ?? []).filter((one) => one.service === service);
-		const lease = new KeeperLease(
-			service,
-			this.deployment.vm,
+		const lease = new KeeperLease(service, this.deployment.vm, {
 			store,
 			clock,
 			log,
-		);
+		});
 		const keeper = new KeyKeeper({
 			service,
 			lease,
--- a/packages/daemon/src/gateway/key-keeper.ts
+++ b/packages/daemon/src/gateway/key-keeper.ts
@@ -184,7 +184,7 @@
 	}
 
 	async #write(): Promise<void> {
-		const batch = this.#released;
+		const batch = [...this.#released];
 		if (batch.length === 0) {
 			return;
 		}
--- a/packages/daemon/src/gateway/request-end.ts
+++ b/packages/daemon/src/gateway/request-end.ts
@@ -13,7 +13,8 @@
 	| 'overloaded'
 	| 'declined'
 	| 'lost'
-	| 'timeout';
+	| 'timeout'
+	| 'internal';
 
 /** A promise that the request did not run and never will, or nothing of the kind. */
 export type RequestEnd = {
--- a/packages/daemon/src/gateway/sending.ts
+++ b/packages/daemon/src/gateway/sending.ts
@@ -84,6 +84,7 @@
 	}
 
 	#newAttempt(leftMs: Millis): Attempt {
+		const {connections, clock} = this.means;
 		return new Attempt(
 			{
 				method: this.req.method ?? 'GET',
@@ -101,10 +102,11 @@
 				holdLen,
 				claim: () => true,
 				judge: (head) => this.#judge(head),
+				endsReset: () => connections.endsReset,
 				added: [],
 			},
 			this.res,
-			this.means.clock,
+			clock,
 		);
 	}
 
--- a/packages/daemon/src/requests/attempt.ts
+++ b/packages/daemon/src/requests/attempt.ts
@@ -30,12 +30,14 @@
 	readonly timeoutMs: Millis;
 	/** How long an answer that has begun may stand still, in ms. */
 	readonly idleMs: Millis;
-	/** An answer of up to this length is passed on only once it is whole. */
+	/** An answer is passed on only once it is whole or longer than this. */
 	readonly holdLen: number;
 	/** Takes the caller for this attempt's answer; false when another attempt has it. */
 	readonly claim: () => boolean;
 	/** Says what may be done with an answer. */
 	readonly judge: (head: AnswerHead) => Judgement;
+	/** Whether a connection whose end is being reported was reset, so that the answer is not whole. */
+	readonly endsReset: () => boolean;
 	/** Fields that the caller gets beside the server's: name, value, name, value. */
 	readonly added: readonly string[];
 };
@@ -53,6 +55,7 @@
 	#headers: string[] = [];
 	/** Parts of an answer that is held until it is whole. */
 	#held: Uint8Array[] | undefined;
+	#heldLen = 0;
 
 	constructor(
 		private readonly plan: AttemptPlan,
@@ -154,6 +157,10 @@
 
 		if (this.#held) {
 			this.#held.push(chunk);
+			this.#heldLen += chunk.length;
+			if (this.#heldLen > this.plan.holdLen) {
+				this.#letGo();
+			}
 		} else if (!this.res.write(chunk)) {
 			this.#awaitCaller(controller);
 		}
@@ -164,11 +171,13 @@
 			return;
 		}
 
+		if (this.plan.endsReset()) {
+			this.onResponseError(undefined, new Error('the connection was reset'));
+			return;
+		}
+
 		if (this.#held) {
-			this.#writeHead();
-			for (const chunk of this.#held) {
-				this.res.write(chunk);
-			}
+			this.#letGo();
 		}
 
 		this.res.end();
@@ -194,6 +203,16 @@
 		}
 	}
 
+	/** Passes on what is held, and from there on each part as it comes. */
+	#letGo(): void {
+		this.#writeHead();
+		for (const chunk of this.#held ?? []) {
+			this.res.write(chunk);
+		}
+
+		this.#held = undefined;
+	}
+
 	#writeHead(): void {
 		this.res.writeHead(this.#status, [...this.#headers, ...this.plan.added]);
 	}
--- a/packages/daemon/src/requests/budget.ts
+++ b/packages/daemon/src/requests/budget.ts
@@ -12,6 +12,11 @@
 		return this.#budget.hasOne;
 	}
 
+	/** Holds `burst` retries at most from now on. */
+	limit(burst: number): void {
+		this.#budget = this.#budget.within(burst);
+	}
+
 	earn(): void {
 		this.#budget = this.#budget.earned();
 	}
--- a/packages/daemon/src/requests/server-attempt.ts
+++ b/packages/daemon/src/requests/server-attempt.ts
@@ -70,7 +70,7 @@
 	}
 
 	#newAttempt(): Attempt {
-		const {clock, settings} = this.means;
+		const {clock, settings, connections} = this.means;
 		const {id, req, res} = this.asked;
 		const {answerIdleMs, replayLen} = settings.requests;
 		const {timeoutMs} = this.plan;
@@ -86,6 +86,7 @@
 				holdLen: replayLen,
 				claim: () => this.plan.claim(this),
 				judge: (head) => judgeAnswer(id, method, head),
+				endsReset: () => connections.endsReset,
 				added: ['x-kingcup-request-id', id],
 			},
 			res,
--- a/packages/daemon/src/requests/server-connections.ts
+++ b/packages/daemon/src/requests/server-connections.ts
@@ -29,12 +29,18 @@
 
 export class ServerConnections {
 	readonly #generations = new Map<string, Generation>();
+	#endsReset = false;
 
 	constructor(
 		private readonly settings: ConnectionBounds,
 		private readonly clock: Clock,
 	) {}
 
+	/** Whether the end of a connection that is being reported right now was a reset. */
+	get endsReset(): boolean {
+		return this.#endsReset;
+	}
+
 	/** The way to `address` over at most `most` connections, and never more than the settings allow. */
 	to(address: string, most: number): Dispatcher {
 		const size = Math.min(most, this.settings.maxConnections);
@@ -91,30 +97,38 @@
 			keepAliveMaxTimeout: serverIdleMs,
 			keepAliveTimeoutThreshold: closeThresholdMs,
 			maxHeaderSize: maxHeaderLen,
-			connect: connector(connectMs),
+			connect: this.#connector(connectMs),
 		});
 	}
-}
 
-/**
- * Opens connections whose resets are always errors. Undici takes one for the proper
- * end of an answer without a length, by the error's code.
- */
-function connector(timeout: Millis): buildConnector.connector {
-	const connect = buildConnector({
-		timeout,
-		keepAlive: true,
-		keepAliveInitialDelay: tcpKeepAliveMs,
-	});
-	return (options, callback) => {
-		connect(options, (...result) => {
-			const [, socket] = result;
-			socket?.prependListener('error', (error: NodeJS.ErrnoException) => {
-				if (error.code === 'ECONNRESET') {
-					error.code = resetCode;
-				}
-			});
-			callback(...result);
+	/**
+	 * Undici takes some resets for the proper end of an answer without a length: those
+	 * that are reported as errors, by their code, and those that arrive together with
+	 * the answer's last bytes, which libuv reports as an end. The latter leave a socket
+	 * without a peer.
+	 */
+	#connector(timeout: Millis): buildConnector.connector {
+		const connect = buildConnector({
+			timeout,
+			keepAlive: true,
+			keepAliveInitialDelay: tcpKeepAliveMs,
 		});
-	};
+		return (options, callback) => {
+			connect(options, (...result) => {
+				const [, socket] = result;
+				socket?.prependListener('error', (error: NodeJS.ErrnoException) => {
+					if (error.code === 'ECONNRESET') {
+						error.code = resetCode;
+					}
+				});
+				socket?.prependListener('end', () => {
+					this.#endsReset = socket.remoteAddress === undefined;
+					queueMicrotask(() => {
+						this.#endsReset = false;
+					});
+				});
+				callback(...result);
+			});
+		};
+	}
 }
--- a/packages/daemon/test/gateway-keeper.test.ts
+++ b/packages/daemon/test/gateway-keeper.test.ts
@@ -28,10 +28,13 @@
 	readonly cut = new Set<string>();
 	/** Daemons whose writes are done and get no answer. */
 	readonly unanswered = new Set<string>();
+	/** How long a write that is done waits for its answer. */
+	answerMs: Millis = 0;
 	#revision = 1;
 
 	constructor(
 		private readonly vm: string,
+		private readonly timers: Timers,
 		private readonly shared?: MemoryStore,
 	) {
 		super();
@@ -64,6 +67,7 @@
 		}
 
 		const next = owner.put(path, spec);
+		await this.timers.sleep(owner.answerMs);
 		return owner.unanswered.has(this.vm)
 			? Left<ObjectError>({kind: 'unknown', message: 'no answer'})
 			: Right(stored(path, next));
@@ -96,6 +100,8 @@
 class HoldingServers extends KeyOrders {
 	readonly holds = new Map<string, Hold[]>();
 	readonly silent = new Set<string>();
+	/** How long a server takes to answer a release. */
+	readonly releaseMs = new Map<string, Millis>();
 	/** What runs at an address in place of the server of that name. */
 	readonly replaced = new Map<string, string>();
 
@@ -137,6 +143,7 @@
 			return {kind: 'ended'};
 		}
 
+		await this.timers.sleep(this.releaseMs.get(address) ?? 0);
 		this.holds.set(address, this.#rest(address, from, to));
 		return {kind: 'taken', handover: `from ${address}`};
 	}
@@ -185,14 +192,14 @@
 /** Daemons that keep the keys of one service of `servers`, each told what the store holds. */
 function fleet(vms: readonly string[], names: readonly string[]) {
 	const timers = new Timers();
-	const shared = new MemoryStore('');
+	const shared = new MemoryStore('', timers);
 	const orders = new HoldingServers(timers);
 	let servers = names.map((name) => server(name));
 	let listed = servers;
 	const log = Log.to({level: 'silent', routingSample: 1}, {});
 	const daemons = vms.map((vm) => {
-		const store = new MemoryStore(vm, shared);
-		const lease = new KeeperLease('s', vm, store, timers, log);
+		const store = new MemoryStore(vm, timers, shared);
+		const lease = new KeeperLease('s', vm, {store, clock: timers, log});
 		const keeper = new KeyKeeper({
 			service: 's',
 			lease,
@@ -226,6 +233,7 @@
 		daemons,
 		cut: shared.cut,
 		unanswered: shared.unanswered,
+		shared,
 		put: (path: string, spec: unknown) => shared.put(path, spec),
 		list(next: readonly string[], leaving: readonly string[] = []) {
 			servers = next.map((name) => server(name));
@@ -341,3 +349,15 @@
 	await pass(500, () => undefined);
 	t.true(someKeys.every((key) => orders.holding(key)[0] === 'b'));
 });
+
+test('keys that come free while the table is being written are given with the next writing', async (t) => {
+	const {orders, pass, list, shared} = fleet(['x'], ['a', 'b']);
+	await pass(1500, () => undefined);
+	shared.answerMs = 300;
+	orders.releaseMs.set('b', 200);
+	list(['a', 'b', 'c']);
+	await pass(5000, () => {
+		t.true(someKeys.every((key) => orders.holding(key).length <= 1));
+	});
+	t.true(someKeys.every((key) => orders.holding(key).length === 1));
+});
--- a/packages/daemon/test/server-connections.test.ts
+++ b/packages/daemon/test/server-connections.test.ts
@@ -2,7 +2,6 @@
 import {createServer, type AddressInfo, type Socket} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
 import {SystemClock} from '@kingcuproute/platform';
-import {request} from 'undici';
 import {ServerConnections} from '../src/requests/server-connections.js';
 
 const bounds = {
@@ -13,17 +12,24 @@
 };
 const unframed = 'HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf of it';
 
-/** Asks a server that begins an answer without a length; `end` ends its connection once that is here. */
-async function answerEnding(
+type Ending = {
+	/** Ends the connection as soon as the server has written its answer. */
+	readonly written?: (socket: Socket) => void;
+	/** Ends it once the answer's bytes are here. */
+	readonly received?: (socket: Socket) => void;
+};
+
+/** How an answer without a length is reported whose connection ends so. */
+async function reported(
 	t: ExecutionContext,
-	end: (socket: Socket) => void,
-): Promise<string> {
+	{written, received}: Ending,
+): Promise<'whole' | 'reset'> {
 	let accepted: Socket | undefined;
 	const server = createServer((socket) => {
 		accepted = socket;
 		socket.on('error', () => undefined);
 		socket.once('data', () => {
-			socket.write(unframed);
+			socket.write(unframed, () => written?.(socket));
 		});
 	});
 	server.listen(0, '127.0.0.1');
@@ -34,21 +40,48 @@
 		server.close();
 	});
 	const {port} = server.address() as AddressInfo;
-	const address = `127.0.0.1:${port}`;
-	const dispatcher = connections.to(address, 1);
-	const res = await request(`http://${address}/`, {dispatcher});
-	end(accepted!);
-	return res.body.text();
+	const dispatcher = connections.to(`127.0.0.1:${port}`, 1);
+	return new Promise((resolve) => {
+		dispatcher.dispatch(
+			{method: 'GET', path: '/'},
+			{
+				onRequestStart() {
+					// Nothing to do: the request is let run.
+				},
+				onResponseStart() {
+					// The head does not matter here.
+				},
+				onResponseData() {
+					received?.(accepted!);
+				},
+				onResponseEnd() {
+					resolve(connections.endsReset ? 'reset' : 'whole');
+				},
+				onResponseError() {
+					resolve('reset');
+				},
+			},
+		);
+	});
 }
 
+const end = (socket: Socket) => {
+	socket.end();
+};
+
+const reset = (socket: Socket) => {
+	socket.resetAndDestroy();
+};
+
 test('an answer without a length that ends with its connection is whole', async (t) => {
-	const text = await answerEnding(t, (socket) => socket.end());
-	t.is(text, 'half of it');
+	t.is(await reported(t, {written: end}), 'whole');
+	t.is(await reported(t, {received: end}), 'whole');
 });
 
 test('an answer without a length that ends with a reset is not whole', async (t) => {
-	await t.throwsAsync(
-		answerEnding(t, (socket) => socket.resetAndDestroy()),
-		{message: /ECONNRESET/},
-	);
+	t.is(await reported(t, {received: reset}), 'reset');
+});
+
+test('a reset that arrives together with the answer is seen', async (t) => {
+	t.is(await reported(t, {written: reset}), 'reset');
 });
--- a/packages/fakes/test/gateway.test.ts
+++ b/packages/fakes/test/gateway.test.ts
@@ -1,8 +1,12 @@
 import {type IncomingMessage} from 'node:http';
 import test from 'ava';
+import {request} from 'undici';
 import {answer, site, type Act} from './gateway-site.js';
 import {until} from './requests-fixture.js';
 
+/** More than the daemon holds. */
+const longLen = 1_500_000;
+
 test('an answer comes back whole, and the server is told whom the request is for and how long it waits', async (t) => {
 	const made = site(t);
 	let seen: IncomingMessage['headers'] = {};
@@ -82,6 +86,36 @@
 	t.is(text, 'all of it');
 });
 
+test('an answer without a length is passed on once it is longer than what is held', async (t) => {
+	const made = site(t);
+	let finish: (() => void) | undefined;
+	await made.add('i-1', 'plain', (req, res) => {
+		res.useChunkedEncodingByDefault = false;
+		res.writeHead(200, {
+			'x-kingcuproute-request-id': String(
+				req.headers['x-kingcuproute-request-id'],
+			),
+		});
+		res.write('x'.repeat(longLen));
+		finish = () => res.end('end');
+	});
+	await made.start();
+	const res = await request(`http://${made.entry}/book/long`, {
+		headers: {
+			host: 'shop.example',
+			'x-kingcuproute-request-id': 'long',
+			'x-kingcuproute-deadline-ms': '20000',
+		},
+	});
+	let len = 0;
+	for await (const part of res.body) {
+		len += (part as Uint8Array).length;
+		finish!();
+	}
+
+	t.is(len, longLen + 3);
+});
+
 test('a key is served by the one server that holds it', async (t) => {
 	const made = site(t);
 	const served = new Map<string, Set<string>>();
