Deal keys by their load, and keep servers whose entries lapsed with the store

Entries that lapse while the store is away were taken for servers that are gone. Ruled out: slow moves (2 requests came to a server without their key). Change: daemons report which keys they see and how long requests run; the keeper moves runs of keys from the busiest to the least busy servers. A holder that declined is asked again after 250 ms, or at once when the key has moved. Lapsed entries count for 2 s. Only three daemons watch every beat of a keeper.

--- a/packages/core/src/gateway/key-plan.ts
+++ b/packages/core/src/gateway/key-plan.ts
@@ -1,7 +1,6 @@
 /**
- * Which keys are to change hands: those of servers that are gone or leaving, and
- * as many as give a new server its part. Keys stay where they are otherwise, since
- * each that moves is slow for a while.
+ * Which keys are to change hands whatever the load: those of servers that are gone or
+ * leaving, and as many as give a new server its part by their number.
  */
 import {type ListedServer} from './listed-server.js';
 import {isHeldBy, maxKey, type KeyRange, type RangeTable} from './key-range.js';
@@ -15,9 +14,6 @@
 	readonly target: ListedServer;
 };
 
-/** A server with less than this part of an even share is given keys of others. */
-const poorShare = 0.5;
-
 /** The moves that make the table fit `servers`, none of which is leaving. */
 export function planKeys(
 	{ranges}: RangeTable,
@@ -48,7 +44,7 @@
 		]),
 	);
 	const moves = dealt(free, servers, shares);
-	return moves.length > 0 ? moves : towardsPoor(ranges, servers, {held, even});
+	return moves.length > 0 ? moves : towardsNew(ranges, servers, {held, even});
 }
 
 /** The table once `move` is done. */
@@ -115,7 +111,8 @@
 	return servers.toSorted((a, b) => shareOf(b) - shareOf(a))[0];
 }
 
-function towardsPoor(
+/** Gives each server that has no keys its part of those of the others. */
+function towardsNew(
 	ranges: readonly KeyRange[],
 	servers: readonly ListedServer[],
 	{held, even}: {readonly held: Map<string, number>; readonly even: number},
@@ -124,11 +121,12 @@
 	const moves: KeyMove[] = [];
 	let rest = [...ranges];
 	for (const target of servers) {
-		let wants = Math.floor(even) - left.get(target.backendServer)!;
-		if (left.get(target.backendServer)! >= even * poorShare) {
+		if (left.get(target.backendServer)! > 0) {
 			continue;
 		}
 
+		let wants = Math.floor(even);
+
 		for (const range of rest.toSorted(
 			(a, b) => left.get(b.owner)! - left.get(a.owner)!,
 		)) {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -247,6 +247,13 @@
 	type RangeTable,
 } from './gateway/key-range.js';
 export {moved, planKeys, without, type KeyMove} from './gateway/key-plan.js';
+export {
+	totalTraffic,
+	TrafficRecorder,
+	type KeyTraffic,
+} from './gateway/key-traffic.js';
+export {planLoad} from './gateway/load-plan.js';
+export {LapseHold} from './gateway/lapse-hold.js';
 export {serversInService, type ListedServer} from './gateway/listed-server.js';
 export {
 	type CallerLimits,
--- a/packages/core/src/placement/key-sample.ts
+++ b/packages/core/src/placement/key-sample.ts
@@ -5,11 +5,11 @@
  */
 
 /** At most `most` keys; `chance` in [0, 1) decides between light ones. */
-export function sampled(
-	counts: ReadonlyMap<string, number>,
+export function sampled<K>(
+	counts: ReadonlyMap<K, number>,
 	most: number,
 	chance: number,
-): ReadonlyMap<string, number> {
+): ReadonlyMap<K, number> {
 	if (counts.size <= most) {
 		return counts;
 	}
@@ -31,7 +31,7 @@
 
 /** How many of the first keys stand for themselves, and what each other key drawn stands for. */
 function split(
-	sorted: ReadonlyArray<readonly [string, number]>,
+	sorted: ReadonlyArray<readonly [unknown, number]>,
 	most: number,
 ): {readonly exact: number; readonly step: number} {
 	let left = 0;
--- /dev/null
+++ b/packages/core/test/gateway/key-load.test.ts
@@ -0,0 +1,177 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {
+	isHeldBy,
+	moved,
+	planKeys,
+	planLoad,
+	SeededRandom,
+	totalTraffic,
+	TrafficRecorder,
+	type KeyTraffic,
+	type ListedServer,
+	type RangeTable,
+} from '../../src/index.js';
+
+function server(backendServer: string, coldMs = 0): ListedServer {
+	return {
+		backendServer,
+		startedAt: 1,
+		service: 's',
+		address: `${backendServer}:80`,
+		failureDomain: 'a',
+		slots: 3,
+		draining: false,
+		coldMs,
+	};
+}
+
+const servers = ['s0', 's1', 's2', 's3'].map((name) => server(name));
+const usualMs = 200;
+const runMs = new Map(
+	servers.map(({backendServer}) => [backendServer, usualMs] as const),
+);
+
+function dealt(): RangeTable {
+	let table: RangeTable = {service: 's', nextFence: 1, ranges: []};
+	for (const move of planKeys(table, servers)) {
+		table = moved(table, move);
+	}
+
+	return table;
+}
+
+/** The part of its slots that each server has busy. */
+function loads({ranges}: RangeTable, {rates}: KeyTraffic): readonly number[] {
+	return servers.map((one) => {
+		let load = 0;
+		for (const range of ranges.filter((held) => isHeldBy(held, one))) {
+			for (const [key, rate] of rates) {
+				if (range.from <= key && key <= range.to) {
+					load += (rate * (runMs.get(one.backendServer) ?? 0)) / 3000;
+				}
+			}
+		}
+
+		return load;
+	});
+}
+
+/** The table after as many plans as a keeper makes in about 20 s. */
+function evenedOut(table: RangeTable, traffic: KeyTraffic): RangeTable {
+	let next = table;
+	for (let round = 0; round < 10; round++) {
+		for (const move of planLoad(next, servers, traffic)) {
+			next = moved(next, move);
+		}
+	}
+
+	return next;
+}
+
+/** Requests of which nearly half are for 200 keys that lie close together. */
+function hotRun(perS: number): KeyTraffic {
+	const rates = new Map<number, number>();
+	for (let key = 0; key < 65_536; key += 512) {
+		rates.set(key, (perS * 0.55) / 128);
+	}
+
+	for (let key = 20_000; key < 20_200; key += 2) {
+		rates.set(key, (perS * 0.45) / 100);
+	}
+
+	return {rates, runMs};
+}
+
+test('a run of hot keys is spread until no server has much more than its part', (t) => {
+	const traffic = hotRun(40);
+	const table = dealt();
+	t.true(Math.max(...loads(table, traffic)) > 1.5);
+	const after = loads(evenedOut(table, traffic), traffic);
+	const even = (40 * usualMs) / 3000 / servers.length;
+	t.true(Math.max(...after) <= even + 0.25, `${after.join(' ')}`);
+});
+
+test('with little load, or nothing known of how long requests run, keys stay', (t) => {
+	t.deepEqual(planLoad(dealt(), servers, hotRun(5)), []);
+	const unknown = {...hotRun(40), runMs: new Map<string, number>()};
+	t.deepEqual(planLoad(dealt(), servers, unknown), []);
+});
+
+test('a cold server is given no load, and one key alone is not cut', (t) => {
+	const rates = new Map([[20_000, 10]]);
+	const traffic = {rates, runMs};
+	const cold = [
+		servers[1],
+		...['s0', 's2', 's3'].map((one) => server(one, 900)),
+	];
+	t.deepEqual(planLoad(dealt(), cold, traffic), []);
+	t.deepEqual(planLoad(dealt(), servers, traffic), []);
+});
+
+test('no plan makes the busiest server busier, and its moves touch no key twice', (t) => {
+	const rate = fc.tuple(
+		fc.integer({min: 0, max: 65_535}),
+		fc.double({min: 0.1, max: 20, noNaN: true}),
+	);
+	fc.assert(
+		fc.property(fc.array(rate, {maxLength: 60}), (all) => {
+			const traffic = {rates: new Map(all), runMs};
+			let table = dealt();
+			for (let round = 0; round < 5; round++) {
+				const before = Math.max(...loads(table, traffic));
+				const moves = planLoad(table, servers, traffic);
+				for (const [index, {from, to}] of moves.entries()) {
+					t.false(
+						moves
+							.slice(index + 1)
+							.some((other) => from <= other.to && other.from <= to),
+					);
+				}
+
+				for (const move of moves) {
+					table = moved(table, move);
+				}
+
+				t.true(Math.max(...loads(table, traffic)) <= before + 1e-9);
+			}
+		}),
+		{numRuns: 60},
+	);
+});
+
+test('a recorder forgets old requests, and takes waiting out of the time that a request ran', (t) => {
+	const recorder = new TrafficRecorder(new SeededRandom(1));
+	recorder.asked(7, 0);
+	recorder.asked(7, 1000);
+	recorder.asked(9, 2000);
+	recorder.answered('a', 600, {waiting: 6, slots: 3});
+	const {rates, runMs: runs} = recorder.traffic(2500);
+	t.is(rates.get(7), 2 / 3);
+	t.is(runs.get('a'), 200);
+	t.deepEqual([...recorder.traffic(3500).rates.keys()], [7, 9]);
+	t.is(recorder.traffic(9000).rates.size, 0);
+	recorder.keep(new Set());
+	t.is(recorder.traffic(9000).runMs.size, 0);
+});
+
+test('rates of all daemons add up, and run times are averaged', (t) => {
+	const total = totalTraffic([
+		{rates: new Map([[1, 2]]), runMs: new Map([['a', 100]])},
+		{
+			rates: new Map([
+				[1, 3],
+				[2, 1],
+			]),
+			runMs: new Map([['a', 300]]),
+		},
+	]);
+	t.deepEqual(
+		[...total.rates],
+		[
+			[1, 5],
+			[2, 1],
+		],
+	);
+	t.is(total.runMs.get('a'), 200);
+});
--- /dev/null
+++ b/packages/core/test/gateway/lapse-hold.test.ts
@@ -0,0 +1,56 @@
+import test from 'ava';
+import {LapseHold, type ListedServer} from '../../src/index.js';
+
+function server(index: number, draining = false): ListedServer {
+	return {
+		backendServer: `s${index}`,
+		startedAt: 1,
+		service: 's',
+		address: `10.0.0.${index}:80`,
+		failureDomain: 'a',
+		slots: 3,
+		draining,
+		coldMs: 0,
+	};
+}
+
+const ten = Array.from({length: 10}, (_, index) => server(index));
+const never = -Infinity;
+
+function names(servers: readonly ListedServer[]): string {
+	return servers.map(({backendServer}) => backendServer).join(' ');
+}
+
+test('a server whose entry goes while the store answers is gone at once', (t) => {
+	const hold = new LapseHold();
+	hold.heard(ten, never, 0);
+	t.is(hold.heard(ten.slice(1), never, 5000).length, 9);
+	t.is(hold.until, undefined);
+});
+
+test('entries that go as the store returns count for two seconds, or until they are back', (t) => {
+	const hold = new LapseHold();
+	hold.heard(ten, never, 0);
+	t.is(hold.heard(ten.slice(2), 4800, 5000).length, 10);
+	t.is(hold.until, 6800);
+	t.is(hold.heard(ten.slice(1), 4800, 5500).length, 10);
+	t.deepEqual(hold.held, ['s0']);
+	t.is(names(hold.servers(6799)).split(' ').length, 10);
+	t.is(names(hold.servers(6800)), names(ten.slice(1)));
+	t.is(hold.until, undefined);
+});
+
+test('many entries that go at once count on, even if no call failed', (t) => {
+	const hold = new LapseHold();
+	hold.heard(ten, never, 0);
+	t.is(hold.heard(ten.slice(4), never, 5000).length, 10);
+	t.is(hold.servers(7000).length, 6);
+});
+
+test("a server that was leaving, or whose address is another one's, is not kept", (t) => {
+	const hold = new LapseHold();
+	hold.heard([server(0, true), ...ten.slice(1)], never, 0);
+	const other = {...server(1), backendServer: 'new'};
+	const kept = hold.heard([...ten.slice(2), other], 4900, 5000);
+	t.is(names(kept), `${names(ten.slice(2))} new`);
+});
--- a/packages/daemon/src/gateway/exchange-means.ts
+++ b/packages/daemon/src/gateway/exchange-means.ts
@@ -4,11 +4,13 @@
 import {type Budget} from '../requests/budget.js';
 import {type ServerConnections} from '../requests/server-connections.js';
 import {type ServerPicks} from './server-picks.js';
+import {type TrafficTask} from './traffic-task.js';
 import {type ViewTask} from './view-task.js';
 
 export type ExchangeMeans = {
 	readonly view: ViewTask;
 	readonly picks: ServerPicks;
+	readonly traffic: TrafficTask;
 	readonly connections: ServerConnections;
 	readonly budget: Budget;
 	readonly clock: Clock;
--- /dev/null
+++ b/packages/daemon/src/gateway/fleet-traffic.ts
@@ -0,0 +1,77 @@
+/** The traffic that all daemons together report, as a keeper reads it. */
+import {
+	fold,
+	totalTraffic,
+	type Clock,
+	type KeyTraffic,
+	type Millis,
+} from '@kingcuproute/core';
+import {
+	keyTrafficKind,
+	parseKeyTraffic,
+	shownError,
+	type ObjectStore,
+	type StoredObject,
+} from '@kingcuproute/platform';
+import {type Log} from '../log/log.js';
+
+/** A report that has not changed for this long is of a daemon that is gone, or sees nothing. */
+const staleMs: Millis = 4000;
+
+type Report = {
+	readonly revision: number;
+	readonly changedAt: Millis;
+	readonly services: ReadonlyMap<string, KeyTraffic>;
+};
+
+export class FleetTraffic {
+	#reports: ReadonlyMap<string, Report> = new Map();
+
+	constructor(
+		private readonly store: ObjectStore,
+		private readonly clock: Clock,
+		private readonly log: Log,
+	) {}
+
+	/** What is known of a service's requests. */
+	of(service: string): KeyTraffic {
+		const now = this.clock.now();
+		const parts = [...this.#reports.values()]
+			.filter(({changedAt}) => now - changedAt < staleMs)
+			.flatMap(({services}) => services.get(service) ?? []);
+		return totalTraffic(parts);
+	}
+
+	/** Reads all reports anew. */
+	async read(): Promise<void> {
+		const listing = await this.store.list(keyTrafficKind);
+		fold(
+			listing,
+			(error) => {
+				this.log.info('traffic-not-read', {error: shownError(error)});
+			},
+			({objects}) => {
+				this.#reports = new Map(
+					objects.map((object) => [object.name, this.#report(object)]),
+				);
+			},
+		);
+	}
+
+	#report({name, revision, spec}: StoredObject): Report {
+		const known = this.#reports.get(name);
+		if (known?.revision === revision) {
+			return known;
+		}
+
+		const services = fold(
+			parseKeyTraffic(spec),
+			([{path, message}]): ReadonlyMap<string, KeyTraffic> => {
+				this.log.warn('traffic-unreadable', {name, revision, path, message});
+				return new Map();
+			},
+			(read) => read,
+		);
+		return {revision, changedAt: this.clock.now(), services};
+	}
+}
--- a/packages/daemon/src/gateway/gateway-entry-task.ts
+++ b/packages/daemon/src/gateway/gateway-entry-task.ts
@@ -18,6 +18,7 @@
 import {GatewayExchange} from './gateway-exchange.js';
 import {sendEnd} from './request-end.js';
 import {ServerPicks} from './server-picks.js';
+import {TrafficTask} from './traffic-task.js';
 import {ViewTask} from './view-task.js';
 
 /** Before the configuration says how long callers may take. */
@@ -52,6 +53,7 @@
 		@inject('Deployment') private readonly deployment: Deployment,
 		@inject(ViewTask) view: ViewTask,
 		@inject(ServerPicks) picks: ServerPicks,
+		@inject(TrafficTask) traffic: TrafficTask,
 		@inject('Clock') private readonly clock: Clock,
 		@inject('Random') random: Random,
 		@inject(Log) private readonly log: Log,
@@ -65,7 +67,16 @@
 			burst: burstOf(1),
 		});
 		const connections = new ServerConnections(connectionBounds, clock);
-		this.#means = {view, picks, connections, budget, clock, random, log};
+		this.#means = {
+			view,
+			picks,
+			traffic,
+			connections,
+			budget,
+			clock,
+			random,
+			log,
+		};
 		this.#entry = entryServer(entryBounds, (req, res) => {
 			this.#inFlight++;
 			res.once('close', () => {
--- a/packages/daemon/src/gateway/gateway-exchange.ts
+++ b/packages/daemon/src/gateway/gateway-exchange.ts
@@ -29,6 +29,8 @@
 const ownerWaitShare = 0.3;
 const configRetryMs: Millis = 500;
 const ownerPollMs: Millis = 25;
+/** A holder that declined is asked again after this: keys change hands in less, and a slot is likely to be free. */
+const ownerAgainMs: Millis = 250;
 /** About one run of the shortest requests: a slot is likely to be free by then. */
 const declinedRetryMs: Millis = 300;
 
@@ -132,12 +134,17 @@
 	}
 
 	async #send(asked: Asked): Promise<RequestEnd | undefined> {
-		const {picks, clock, budget} = this.means;
+		const {picks, clock, budget, traffic} = this.means;
 		const {rule, service, until} = asked;
 		const key = this.#key();
+		if (service.keyed && key !== undefined) {
+			traffic.of(service.service).asked(key, clock.now());
+		}
+
 		const tried: string[] = [];
 		let before: AttemptEnd | undefined;
 		let sends = 0;
+		let declined: {readonly by: string; readonly at: Millis} | undefined;
 		while (!this.#gone) {
 			const picked = picks.pick({service, key, tried});
 			if (picked.isLeft()) {
@@ -151,6 +158,12 @@
 			}
 
 			const server = picked.unsafeCoerce();
+			const isSame = server.backendServer === declined?.by;
+			if (isSame && clock.now() - declined!.at < ownerAgainMs) {
+				await clock.sleep(ownerPollMs);
+				continue;
+			}
+
 			if (sends > 0) {
 				budget.spend();
 			}
@@ -186,7 +199,7 @@
 			}
 
 			if (service.keyed && end.kind === 'declined') {
-				await clock.sleep(ownerPollMs);
+				declined = {by: server.backendServer, at: clock.now()};
 			}
 		}
 
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -13,6 +13,7 @@
 import {Log} from '../log/log.js';
 import {GatewayEntryTask} from './gateway-entry-task.js';
 import {KeepersTask} from './keepers-task.js';
+import {TrafficTask} from './traffic-task.js';
 import {ViewTask} from './view-task.js';
 
 const maxSeed = 2 ** 31;
@@ -21,6 +22,7 @@
 	readonly #entry: GatewayEntryTask;
 	readonly #keepers: KeepersTask;
 	readonly #view: ViewTask;
+	readonly #traffic: TrafficTask;
 	readonly #log: Log;
 
 	constructor(deployment: Deployment) {
@@ -43,6 +45,7 @@
 		this.#view = parts.resolve(ViewTask);
 		this.#entry = parts.resolve(GatewayEntryTask);
 		this.#keepers = parts.resolve(KeepersTask);
+		this.#traffic = parts.resolve(TrafficTask);
 		this.#log.info('starting', {failureDomain});
 	}
 
@@ -50,12 +53,14 @@
 		await this.#entry.start();
 		await this.#view.start();
 		await this.#keepers.start();
+		await this.#traffic.start();
 	}
 
 	/** Gives its duties away at once, and answers callers until they are gone. */
 	async stop(): Promise<void> {
 		this.#log.info('stopping');
 		await Promise.all([this.#keepers.stop(), this.#entry.stop()]);
+		await this.#traffic.stop();
 		await this.#view.stop();
 		this.#log.info('stopped');
 	}
--- a/packages/daemon/src/gateway/keepers-task.ts
+++ b/packages/daemon/src/gateway/keepers-task.ts
@@ -11,6 +11,7 @@
 import {inject, singleton} from 'tsyringe';
 import {Log} from '../log/log.js';
 import {Task} from '../task/task.js';
+import {FleetTraffic} from './fleet-traffic.js';
 import {KeeperLease} from './keeper-lease.js';
 import {KeyKeeper} from './key-keeper.js';
 import {KindFollower} from './kind-follower.js';
@@ -18,6 +19,10 @@
 
 /** Between two tries to register: all daemons try at once after an outage of the store. */
 const registerRetryMs: Millis = 1000;
+/** As often as daemons report. */
+const readTrafficMs: Millis = 1000;
+/** Daemons that watch every beat of a keeper, to follow it at once; the others look now and then. */
+const standbyCount = 3;
 
 type Kept = {readonly lease: KeeperLease; readonly keeper: KeyKeeper};
 
@@ -25,6 +30,7 @@
 export class KeepersTask extends Task {
 	readonly #keepers = new Map<string, Kept>();
 	readonly #leases: KindFollower;
+	readonly #traffic: FleetTraffic;
 	#stopped = false;
 
 	constructor(
@@ -37,6 +43,7 @@
 		@inject(Log) private readonly log: Log,
 	) {
 		super();
+		this.#traffic = new FleetTraffic(store, clock, log);
 		this.#leases = new KindFollower(keepersKind, {
 			store,
 			clock,
@@ -46,6 +53,7 @@
 	}
 
 	override async start(): Promise<void> {
+		void this.#readTraffic();
 		this.#leases.objects.subscribe((objects) => {
 			for (const [service, {lease}] of this.#keepers) {
 				lease.heard(objects?.get(service));
@@ -57,6 +65,7 @@
 			}
 		});
 		this.view.view.subscribe(() => {
+			this.#leases.slow = !this.#standsBy();
 			this.#follow();
 		});
 		this.#leases.start();
@@ -72,6 +81,28 @@
 		]);
 	}
 
+	/** Follows the fleet's traffic while this daemon keeps keys. */
+	async #readTraffic(): Promise<void> {
+		while (!this.#stopped) {
+			if ([...this.#keepers.values()].some(({lease}) => lease.isHeld)) {
+				await this.#traffic.read();
+			}
+
+			await this.clock.sleep(readTrafficMs);
+		}
+	}
+
+	/** Whether this daemon is one of those that watch the keepers' beats. */
+	#standsBy(): boolean {
+		const {vm} = this.deployment;
+		const {daemonNames} = this.view.view.value;
+		const at = daemonNames.indexOf(vm);
+		return (
+			(at !== -1 && at < standbyCount) ||
+			[...this.#keepers.values()].some(({lease}) => lease.isHeld)
+		);
+	}
+
 	/** Enters this daemon among those that share the backend servers. */
 	async #register(): Promise<void> {
 		const {vm, failureDomain} = this.deployment;
@@ -131,6 +162,7 @@
 			log,
 			listed,
 			servers: () => view.view.value.inService.get(service) ?? [],
+			traffic: () => this.#traffic.of(service),
 		});
 		lease.heard(this.#leases.objects.value?.get(service));
 		keeper.heard(view.rangeTableObjects.objects.value?.get(service));
--- a/packages/daemon/src/gateway/key-keeper.ts
+++ b/packages/daemon/src/gateway/key-keeper.ts
@@ -7,10 +7,12 @@
 	fold,
 	moved,
 	planKeys,
+	planLoad,
 	isHeldBy,
 	without,
 	type KeyMove,
 	type KeyRange,
+	type KeyTraffic,
 	type ListedServer,
 	type Millis,
 	type RangeTable,
@@ -26,14 +28,26 @@
 import {KeyGrants, type KeyGrantsMeans} from './key-grants.js';
 
 const tickMs: Millis = 100;
+/** How long keys that are free wait for others of their plan: every daemon reads each writing of the table. */
+const batchMs: Millis = 250;
+/** After moves that even out the load: the requests seen since then take that long to be reported. */
+const settleMs: Millis = 2000;
+/** Between two looks at the load: half of the time between two reports. */
+const lookMs: Millis = 500;
 
 /** A move whose keys nobody holds any more, which waits to be written. */
-type Released = {readonly move: KeyMove; readonly handover: string | undefined};
+type Released = {
+	readonly move: KeyMove;
+	readonly handover: string | undefined;
+	readonly at: Millis;
+};
 
 export type KeyKeeperMeans = KeyGrantsMeans & {
 	readonly store: ObjectStore;
 	/** Servers of the service that may hold keys. */
 	readonly servers: () => readonly ListedServer[];
+	/** What the fleet sees of the service's requests. */
+	readonly traffic: () => KeyTraffic;
 };
 
 export class KeyKeeper {
@@ -45,6 +59,7 @@
 	#writing = false;
 	/** Whether the table was written under the lease now held: no older write can land after that. */
 	#inForce = false;
+	#nextLookAt: Millis = -Infinity;
 	#cancel: (() => void) | undefined;
 
 	constructor(private readonly means: KeyKeeperMeans) {
@@ -166,18 +181,39 @@
 			return;
 		}
 
-		for (const move of planKeys(this.#table, this.means.servers())) {
+		const servers = this.means.servers();
+		const needed = planKeys(this.#table, servers);
+		const moves = needed.length > 0 ? needed : this.#evenOut(servers);
+		for (const move of moves) {
 			this.#moving.add(move);
 			void this.#free(move);
 		}
 	}
 
+	#evenOut(servers: readonly ListedServer[]): readonly KeyMove[] {
+		const {clock, traffic, log, service} = this.means;
+		const now = clock.now();
+		if (now < this.#nextLookAt) {
+			return [];
+		}
+
+		const seen = traffic();
+		const moves = planLoad(this.#table, servers, seen);
+		this.#nextLookAt = now + (moves.length > 0 ? settleMs : lookMs);
+		if (moves.length > 0) {
+			const count = moves.length;
+			log.info('load-evened-out', {service, count, keys: seen.rates.size});
+		}
+
+		return moves;
+	}
+
 	/** Gets the move's keys free of their holder; a move planned under a former lease is dropped. */
 	async #free(move: KeyMove): Promise<void> {
 		const {from, to, holder} = move;
 		const handover = holder && (await this.#grants.takeBack(holder, from, to));
 		if (this.#moving.has(move) && this.means.lease.isHeld) {
-			this.#released.push({move, handover});
+			this.#released.push({move, handover, at: this.means.clock.now()});
 		} else {
 			this.#moving.delete(move);
 		}
@@ -185,7 +221,9 @@
 
 	async #write(): Promise<void> {
 		const batch = [...this.#released];
-		if (batch.length === 0) {
+		const waitedMs = this.means.clock.now() - (batch.at(0)?.at ?? Infinity);
+		const isWhole = batch.length === this.#moving.size;
+		if (batch.length === 0 || !(isWhole || waitedMs >= batchMs)) {
 			return;
 		}
 
--- a/packages/daemon/src/gateway/kind-follower.ts
+++ b/packages/daemon/src/gateway/kind-follower.ts
@@ -1,4 +1,8 @@
-/** Keeps a copy of every object of one kind in the platform's store, by one list and long polls from there on. */
+/**
+ * Keeps a copy of every object of one kind in the platform's store, by one list and
+ * long polls from there on, or, where nobody needs the news at once, by a list now and
+ * then.
+ */
 import {fold, type Clock, type Millis, type Random} from '@kingcuproute/core';
 import {
 	shownError,
@@ -10,6 +14,10 @@
 
 /** Short enough to notice within a few seconds that a connection has gone silent. */
 const waitMs: Millis = 5000;
+/** Between two lists of a kind that is followed slowly; spread, since all daemons do. */
+const slowMs: Millis = 5000;
+/** How soon a follower notices that it is to be quick again. */
+const paceCheckMs: Millis = 500;
 /** Between two tries while the store does not answer; spread, since all daemons try. */
 const retryMs: Millis = 300;
 
@@ -25,6 +33,9 @@
 export class KindFollower {
 	/** Undefined until the kind was read once. */
 	readonly objects = new Topic<Objects | undefined>(undefined);
+	/** Whether news may be seconds late, at a fraction of the calls. */
+	slow = false;
+	#lastFailureAt: Millis = -Infinity;
 	#revision: number | undefined;
 	#isUp: boolean | undefined;
 	#stopped = false;
@@ -34,6 +45,11 @@
 		private readonly means: FollowerMeans,
 	) {}
 
+	/** When a call last failed. */
+	get lastFailureAt(): Millis {
+		return this.#lastFailureAt;
+	}
+
 	start(): void {
 		void this.#run();
 	}
@@ -44,9 +60,14 @@
 
 	async #run(): Promise<void> {
 		while (!this.#stopped) {
+			const isSlow = this.slow && this.objects.value !== undefined;
+			if (isSlow) {
+				await this.#idle();
+			}
+
 			const error =
-				this.#revision === undefined
-					? await this.#list()
+				this.#revision === undefined || isSlow
+					? await this.#list(isSlow)
 					: await this.#watch(this.#revision);
 			this.#note(error);
 			if (error !== undefined) {
@@ -55,12 +76,25 @@
 		}
 	}
 
-	async #list(): Promise<string | undefined> {
-		const listing = await this.means.store.list(this.kind);
+	/** Waits for the next slow list, or until news are wanted quickly again. */
+	async #idle(): Promise<void> {
+		const {clock, random} = this.means;
+		const until = clock.now() + random.jitter(slowMs);
+		while (this.slow && !this.#stopped && clock.now() < until) {
+			await clock.sleep(paceCheckMs);
+		}
+	}
+
+	async #list(stale: boolean): Promise<string | undefined> {
+		const listing = await this.means.store.list(this.kind, stale);
 		return fold(
 			listing,
 			(error): string | undefined => shownError(error),
 			({revision, objects}) => {
+				if (revision < (this.#revision ?? 0)) {
+					return undefined;
+				}
+
 				this.#revision = revision;
 				this.objects.publish(
 					new Map(objects.map((object) => [object.name, object])),
@@ -103,6 +137,10 @@
 	}
 
 	#note(error: string | undefined): void {
+		if (error !== undefined) {
+			this.#lastFailureAt = this.means.clock.now();
+		}
+
 		const isUp = error === undefined;
 		if (isUp === this.#isUp) {
 			return;
--- a/packages/daemon/src/gateway/sending.ts
+++ b/packages/daemon/src/gateway/sending.ts
@@ -10,7 +10,11 @@
 	type RoutedService,
 	type SendingEnd,
 } from '@kingcuproute/core';
-import {readMarks, requestFields} from '@kingcuproute/platform';
+import {
+	readMarks,
+	requestFields,
+	type ServerLoad,
+} from '@kingcuproute/platform';
 import {Attempt} from '../requests/attempt.js';
 import {type RequestBody} from '../requests/request-body.js';
 import {type ExchangeMeans} from './exchange-means.js';
@@ -38,6 +42,8 @@
 
 export class Sending {
 	#attempt: Attempt | undefined;
+	/** What the server says of its load in the answer. */
+	#load: ServerLoad | undefined;
 
 	constructor(
 		private readonly means: ExchangeMeans,
@@ -52,7 +58,7 @@
 	}
 
 	async run(): Promise<AttemptEnd> {
-		const {picks, connections, clock, log, view} = this.means;
+		const {picks, connections, clock, log, view, traffic} = this.means;
 		const {id, service, until, server, number} = this.plan;
 		const {backendServer, address} = server;
 		const leftMs = Math.max(1, until - clock.now());
@@ -71,6 +77,12 @@
 		this.#attempt.send(dispatcher);
 		const end = await this.#attempt.ended;
 		picks.loads.ended(backendServer, sendingEnd(end), clock.now());
+		if (end.kind === 'answered' && service.keyed && this.#load) {
+			const {latencyMs} = this.#attempt;
+			const recorder = traffic.of(service.service);
+			recorder.answered(backendServer, latencyMs, this.#load);
+		}
+
 		if (end.kind !== 'answered') {
 			const message = 'message' in end ? end.message : undefined;
 			log.info('attempt-failed', {id, backendServer, end: end.kind, message});
@@ -120,6 +132,7 @@
 		}
 
 		if (load) {
+			this.#load = load;
 			picks.loads.reported(server.backendServer, load, clock.now());
 		}
 
--- /dev/null
+++ b/packages/daemon/src/gateway/traffic-task.ts
@@ -0,0 +1,107 @@
+/**
+ * Records the requests for services divided by key, and tells the keepers of them by
+ * an object in the platform's store.
+ */
+import {
+	fold,
+	TrafficRecorder,
+	type Clock,
+	type KeyTraffic,
+	type Millis,
+	type Random,
+} from '@kingcuproute/core';
+import {
+	keyTrafficKind,
+	keyTrafficSpec,
+	shownError,
+	type Deployment,
+	type ObjectStore,
+} from '@kingcuproute/platform';
+import {inject, singleton} from 'tsyringe';
+import {Log} from '../log/log.js';
+import {Task} from '../task/task.js';
+import {ViewTask} from './view-task.js';
+
+/** Often enough to follow a key that turns busy for a few seconds. */
+const reportMs: Millis = 1000;
+/** The part of the store's writes that all reports together take. */
+const writeShare = 0.1;
+const secondMs: Millis = 1000;
+
+@singleton()
+export class TrafficTask extends Task {
+	readonly #recorders = new Map<string, TrafficRecorder>();
+	#revision: number | undefined;
+	#stopped = false;
+
+	constructor(
+		@inject(ViewTask) private readonly view: ViewTask,
+		@inject('Store') private readonly store: ObjectStore,
+		@inject('Deployment') private readonly deployment: Deployment,
+		@inject('Clock') private readonly clock: Clock,
+		@inject('Random') private readonly random: Random,
+		@inject(Log) private readonly log: Log,
+	) {
+		super();
+		view.view.subscribe(({servers = []}) => {
+			const names = new Set(servers.map(({backendServer}) => backendServer));
+			for (const recorder of this.#recorders.values()) {
+				recorder.keep(names);
+			}
+		});
+	}
+
+	/** The recorder of a service's requests. */
+	of(service: string): TrafficRecorder {
+		const recorder =
+			this.#recorders.get(service) ?? new TrafficRecorder(this.random);
+		this.#recorders.set(service, recorder);
+		return recorder;
+	}
+
+	override async start(): Promise<void> {
+		void this.#run();
+	}
+
+	override async stop(): Promise<void> {
+		this.#stopped = true;
+	}
+
+	async #run(): Promise<void> {
+		while (!this.#stopped) {
+			const {daemons} = this.view.view.value;
+			const ours = this.deployment.store.writeRate * writeShare;
+			const leastMs = (daemons / ours) * secondMs;
+			await this.clock.sleep(this.random.jitter(Math.max(reportMs, leastMs)));
+			const now = this.clock.now();
+			const services = [...this.#recorders].map(
+				([service, recorder]) => [service, recorder.traffic(now)] as const,
+			);
+			const busy = services.filter(([, {rates}]) => rates.size > 0);
+			if (busy.length > 0 && !this.#stopped) {
+				await this.#report(new Map(busy));
+			}
+		}
+	}
+
+	async #report(services: ReadonlyMap<string, KeyTraffic>): Promise<void> {
+		const written = await this.store.write({
+			kind: keyTrafficKind,
+			name: this.deployment.vm,
+			revision: this.#revision,
+			spec: keyTrafficSpec(services),
+		});
+		fold(
+			written,
+			(error) => {
+				this.log.info('traffic-not-reported', {error: shownError(error)});
+				if (error.kind === 'conflict') {
+					this.#revision = error.held?.revision;
+				}
+			},
+			({revision}) => {
+				this.#revision = revision;
+			},
+		);
+	}
+}
--- a/packages/daemon/src/gateway/view-task.ts
+++ b/packages/daemon/src/gateway/view-task.ts
@@ -1,6 +1,7 @@
 /** What the daemon knows from the platform's store: routes, backend servers, domains out of service, range tables. */
 import {
 	fold,
+	LapseHold,
 	RouteTable,
 	serversInService,
 	type Checked,
@@ -39,6 +40,8 @@
 	readonly rangeTables: ReadonlyMap<string, RangeTable>;
 	/** Daemons that share the backend servers; at least one. */
 	readonly daemons: number;
+	/** The VMs of those that have registered, in order. */
+	readonly daemonNames: readonly string[];
 };
 
 const nothing: GatewayView = {
@@ -47,6 +50,7 @@
 	inService: new Map(),
 	rangeTables: new Map(),
 	daemons: 1,
+	daemonNames: [],
 };
 
 @singleton()
@@ -55,12 +59,13 @@
 	readonly rangeTableObjects: KindFollower;
 	readonly #followers: readonly KindFollower[];
 	#evacuated: ReadonlySet<string> = new Set();
+	readonly #hold = new LapseHold();
 	/** Object and revision of what could not be read, so that each is logged once. */
 	readonly #unreadable = new Map<string, number>();
 
 	constructor(
 		@inject('Store') store: ObjectStore,
-		@inject('Clock') clock: Clock,
+		@inject('Clock') private readonly clock: Clock,
 		@inject('Random') random: Random,
 		@inject(Log) private readonly log: Log,
 	) {
@@ -81,7 +86,8 @@
 		});
 		servers.objects.subscribe((objects) => {
 			const listed = this.#read(serversKind, objects, parseListedServer);
-			this.#set({servers: listed, inService: this.#inService(listed)});
+			const {lastFailureAt} = servers;
+			this.#list(this.#hold.heard(listed, lastFailureAt, clock.now()));
 		});
 		evacuations.objects.subscribe((objects) => {
 			this.#evacuate(new Set(objects?.keys()));
@@ -95,7 +101,8 @@
 			});
 		});
 		daemons.objects.subscribe((objects) => {
-			this.#set({daemons: Math.max(1, objects?.size ?? 1)});
+			const daemonNames = [...(objects?.keys() ?? [])].sort();
+			this.#set({daemons: Math.max(1, daemonNames.length), daemonNames});
 		});
 	}
 
@@ -147,6 +154,20 @@
 		this.#set({inService: this.#inService(this.view.value.servers ?? [])});
 	}
 
+	#list(servers: readonly ListedServer[]): void {
+		this.#set({servers, inService: this.#inService(servers)});
+		const {until, held} = this.#hold;
+		if (until === undefined) {
+			return;
+		}
+
+		const forMs = Math.round(until - this.clock.now());
+		this.log.info('lapsed-servers-kept', {servers: held.join(','), forMs});
+		this.clock.after(forMs, () => {
+			this.#list(this.#hold.servers(this.clock.now()));
+		});
+	}
+
 	#inService(servers: readonly ListedServer[]) {
 		return serversInService(servers, this.#evacuated);
 	}
--- a/packages/daemon/test/gateway-keeper.test.ts
+++ b/packages/daemon/test/gateway-keeper.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import {
 	type KeyRange,
+	type KeyTraffic,
 	type ListedServer,
 	type Millis,
 } from '@kingcuproute/core';
@@ -196,6 +197,7 @@
 	const orders = new HoldingServers(timers);
 	let servers = names.map((name) => server(name));
 	let listed = servers;
+	let traffic: KeyTraffic = {rates: new Map(), runMs: new Map()};
 	const log = Log.to({level: 'silent', routingSample: 1}, {});
 	const daemons = vms.map((vm) => {
 		const store = new MemoryStore(vm, timers, shared);
@@ -209,6 +211,7 @@
 			log,
 			servers: () => servers,
 			listed: () => listed,
+			traffic: () => traffic,
 		});
 		keeper.start();
 		return {vm, lease, keeper};
@@ -239,6 +242,9 @@
 			servers = next.map((name) => server(name));
 			listed = [...servers, ...leaving.map((name) => server(name))];
 		},
+		see(next: KeyTraffic) {
+			traffic = next;
+		},
 		/** Lets time pass and checks at each step what must always hold. */
 		async pass(ms: Millis, check: () => void) {
 			for (let passed = 0; passed < ms; passed += 50) {
@@ -361,3 +367,22 @@
 	});
 	t.true(someKeys.every((key) => orders.holding(key).length === 1));
 });
+
+test('busy keys move to a server that is less so, and are at one holder all the while', async (t) => {
+	const {orders, pass, see} = fleet(['x', 'y'], ['a', 'b']);
+	await pass(1500, () => undefined);
+	t.deepEqual(orders.holding(0), orders.holding(20_000));
+	const runMs = new Map([
+		['a', 200],
+		['b', 200],
+	]);
+	const rates = new Map([
+		[0, 6],
+		[20_000, 6],
+	]);
+	see({rates, runMs});
+	await pass(2000, () => {
+		t.true(someKeys.every((key) => orders.holding(key).length <= 1));
+	});
+	t.notDeepEqual(orders.holding(0), orders.holding(20_000));
+});
--- a/packages/platform/src/http-object-store.ts
+++ b/packages/platform/src/http-object-store.ts
@@ -49,13 +49,15 @@
 
 	override async list(
 		kind: string,
+		stale = false,
 	): Promise<Either<ObjectError, ObjectListing>> {
 		const objects: StoredObject[] = [];
 		let revision: number | undefined;
 		let after = '';
 		for (let pages = 0; pages < maxPages; pages++) {
+			const query = {...(after && {after}), ...(stale && {staleOk: '1'})};
 			const page = await this.#call(
-				{method: 'GET', path: pathOf(kind, undefined, after ? {after} : {})},
+				{method: 'GET', path: pathOf(kind, undefined, query)},
 				parsePage,
 			);
 			if (page.isLeft()) {
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -15,6 +15,11 @@
 	type Deployment,
 } from './deployment.js';
 export {HttpObjectStore} from './http-object-store.js';
+export {
+	keyTrafficKind,
+	keyTrafficSpec,
+	parseKeyTraffic,
+} from './key-traffic-document.js';
 export {
 	HttpKeyOrders,
 	KeyOrders,
--- a/packages/platform/src/object-store.ts
+++ b/packages/platform/src/object-store.ts
@@ -40,8 +40,11 @@
 
 /** Every call ends within a bound, whatever the store does. */
 export abstract class ObjectStore {
-	/** Reads a whole kind. */
-	abstract list(kind: string): Promise<Either<ObjectError, ObjectListing>>;
+	/** Reads a whole kind, seconds old where `stale`, which costs a tenth and counts toward no rate. */
+	abstract list(
+		kind: string,
+		stale?: boolean,
+	): Promise<Either<ObjectError, ObjectListing>>;
 
 	/** Resolves with the changes after `revision` as soon as there are any, or with none after `waitMs`. */
 	abstract watch(
--- a/packages/platform/test/decoding.test.ts
+++ b/packages/platform/test/decoding.test.ts
@@ -1,7 +1,9 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {
+	keyTrafficSpec,
 	parseDeployment,
+	parseKeyTraffic,
 	parseListedServer,
 	parseLoad,
 	parseRangeTable,
@@ -259,3 +261,21 @@
 		}),
 	);
 });
+
+test('the traffic of keys is read as it was written, and anything else is a fault', (t) => {
+	const rates = new Map([
+		[7, 0.33],
+		[65_535, 12],
+	]);
+	const services = new Map([['s', {rates, runMs: new Map([['i-1', 220.5]])}]]);
+	const spec: unknown = structuredClone(keyTrafficSpec(services));
+	t.deepEqual(parseKeyTraffic(spec).extract(), services);
+	for (const wrong of [
+		undefined,
+		{},
+		{services: [{service: 's', rates: [[65_536, 1]], runs: []}]},
+		{services: [{service: 's', rates: [[1, -1]], runs: []}]},
+	]) {
+		t.true(parseKeyTraffic(wrong).isLeft(), `${JSON.stringify(wrong)}`);
+	}
+});
