Choose servers by the time that they are expected to take

Cause: servers of one service differ in speed by up to three times, and were given requests alike. Change: each daemon measures how long requests run at each server, without the wait that the answer's load field tells of, and sends to where the answer is expected first. The keeper's load plan reads the same times: one copy.

--- a/packages/core/src/gateway/key-traffic.ts
+++ b/packages/core/src/gateway/key-traffic.ts
@@ -6,7 +6,6 @@
 import {type Random} from '../chance/random.js';
 import {sampled} from '../placement/key-sample.js';
 import {type Millis} from '../time/clock.js';
-import {type Occupancy} from './server-loads.js';
 
 export type KeyTraffic = {
 	/** Requests a second, by key. */
@@ -21,16 +20,13 @@
 const maxKeys = 200;
 /** Requests that are remembered: several thousand a second over the window. */
 const maxAsks = 20_000;
-/** How much of a new reading goes into a server's run time: a dozen readings outweigh the former ones. */
-const newShare = 0.15;
 const secondMs: Millis = 1000;
 
 type Ask = {readonly key: number; readonly at: Millis};
 
-/** Records one daemon's part. */
-export class TrafficRecorder {
+/** Records which keys one daemon is asked for. */
+export class KeyRecorder {
 	#asks: Ask[] = [];
-	readonly #runMs = new Map<string, Millis>();
 
 	constructor(private readonly random: Random) {}
 
@@ -41,28 +37,8 @@
 		}
 	}
 
-	/** Takes in an answer's time; what waited at the server when it answered tells how long the request waited. */
-	answered(
-		server: string,
-		tookMs: Millis,
-		{waiting, slots}: Pick<Occupancy, 'waiting'> & {readonly slots: number},
-	): void {
-		const runMs = tookMs / (1 + waiting / slots);
-		const known = this.#runMs.get(server) ?? runMs;
-		this.#runMs.set(server, known + (runMs - known) * newShare);
-	}
-
-	/** Forgets servers that are gone. */
-	keep(servers: ReadonlySet<string>): void {
-		for (const server of this.#runMs.keys()) {
-			if (!servers.has(server)) {
-				this.#runMs.delete(server);
-			}
-		}
-	}
-
-	/** The traffic of the last few seconds. */
-	traffic(now: Millis): KeyTraffic {
+	/** Requests a second by key, over the last few seconds. */
+	rates(now: Millis): ReadonlyMap<number, number> {
 		this.#asks = this.#recent(now);
 		const counts = new Map<number, number>();
 		for (const {key} of this.#asks) {
@@ -70,10 +46,9 @@
 		}
 
 		const some = sampled(counts, maxKeys, this.random.fraction());
-		const rates = [...some].map(
-			([key, count]) => [key, (count * secondMs) / windowMs] as const,
+		return new Map(
+			[...some].map(([key, count]) => [key, (count * secondMs) / windowMs]),
 		);
-		return {rates: new Map(rates), runMs: new Map(this.#runMs)};
 	}
 
 	#recent(now: Millis): Ask[] {
--- a/packages/core/src/gateway/server-loads.ts
+++ b/packages/core/src/gateway/server-loads.ts
@@ -1,8 +1,9 @@
 /**
- * How busy one daemon takes each backend server to be, from what it has sent there
- * and from what answers say, and which server bears the next request. Answers the
- * load of many daemons at once: each sees a part, so what a server reported of the
- * others' requests counts for a while.
+ * How busy and how fast one daemon takes each backend server to be, from what it has
+ * sent there and from what answers say, and which server bears the next request.
+ * Answers the load of many daemons at once on servers that differ in speed: each
+ * daemon sees a part, so what a server reported of the others' requests counts for a
+ * while, and a fast server is given more than a slow one.
  */
 import {type Random} from '../chance/random.js';
 import {type Millis} from '../time/clock.js';
@@ -12,6 +13,7 @@
 export type Occupancy = {
 	readonly running: number;
 	readonly waiting: number;
+	readonly slots: number;
 };
 
 /** How one sending ended, as far as it tells of the server. */
@@ -23,6 +25,12 @@
 const avoidLostMs: Millis = 2000;
 /** How long one that declined is tried last: about one request's run. */
 const avoidDeclinedMs: Millis = 200;
+/** How much of a new reading goes into a server's run time: a dozen readings outweigh the former ones. */
+const newShare = 0.15;
+/** A run time that is not renewed counts half after this, so that a server that was slow is tried again. */
+const runHalfLifeMs: Millis = 5000;
+/** What a request takes at an idle server, against what each request there adds, in runs a slot. */
+const idleWeight = 0.5;
 /** Requests a slot beyond which a server is not sent more: its queue then holds about one run's work. */
 const maxLoad = 2;
 
@@ -31,6 +39,9 @@
 	/** Requests of other daemons, as of `reportedAt`. */
 	others: number;
 	reportedAt: Millis;
+	/** How long a request runs there when it need not wait; undefined before the first answer. */
+	runMs: Millis | undefined;
+	ranAt: Millis;
 	avoidUntil: Millis;
 	/** Part of a request that may be sent while the server is cold. */
 	coldCredit: number;
@@ -72,7 +83,34 @@
 		gauge.reportedAt = now;
 	}
 
-	/** The server that is least busy for its slots; undefined when each is full. */
+	/** Takes in how long an answer took; what waits at the server tells how long the request waited itself. */
+	ran(
+		server: string,
+		tookMs: Millis,
+		{waiting, slots}: Occupancy,
+		now: Millis,
+	): void {
+		const gauge = this.#gauge(server);
+		const runMs = tookMs / (1 + waiting / slots);
+		const known = gauge.runMs ?? runMs;
+		gauge.runMs = known + (runMs - known) * newShare;
+		gauge.ranAt = now;
+	}
+
+	/** How long a request runs at each of the servers that are known, in ms. */
+	runTimes(servers: readonly ListedServer[]): ReadonlyMap<string, Millis> {
+		const times = new Map<string, Millis>();
+		for (const {backendServer} of servers) {
+			const runMs = this.#gauges.get(backendServer)?.runMs;
+			if (runMs !== undefined) {
+				times.set(backendServer, runMs);
+			}
+		}
+
+		return times;
+	}
+
+	/** The server that is expected to answer first; undefined when each is full. */
 	choose(
 		candidates: readonly ListedServer[],
 		now: Millis,
@@ -84,8 +122,13 @@
 			({server}) => this.#gauge(server.backendServer).avoidUntil <= now,
 		);
 		const open = calm.length > 0 ? calm : loads;
-		const least = Math.min(...open.map(({load}) => load));
-		return this.random.pick(open.filter(({load}) => load === least))?.server;
+		const slowness = this.#slowness(candidates, now);
+		const rated = open.map(({server, load}) => ({
+			server,
+			time: slowness(server) * (idleWeight + load),
+		}));
+		const least = Math.min(...rated.map(({time}) => time));
+		return this.random.pick(rated.filter(({time}) => time === least))?.server;
 	}
 
 	/** Requests a slot, of this daemon and, as far as reported, of the others. */
@@ -115,6 +158,26 @@
 		return true;
 	}
 
+	/** How long a request runs at each server, against the usual 1. */
+	#slowness(
+		candidates: readonly ListedServer[],
+		now: Millis,
+	): (server: ListedServer) => number {
+		const times = [...this.runTimes(candidates).values()];
+		const usualMs = times
+			.sort((a, b) => a - b)
+			.at(Math.floor(times.length / 2));
+		return ({backendServer}) => {
+			const {runMs, ranAt} = this.#gauge(backendServer);
+			if (runMs === undefined || usualMs === undefined) {
+				return 1;
+			}
+
+			const trust = 2 ** (-(now - ranAt) / runHalfLifeMs);
+			return 1 + (runMs / usualMs - 1) * trust;
+		};
+	}
+
 	#gauge(server: string): Gauge {
 		let gauge = this.#gauges.get(server);
 		if (!gauge) {
@@ -122,6 +185,8 @@
 				inFlight: 0,
 				others: 0,
 				reportedAt: 0,
+				runMs: undefined,
+				ranAt: 0,
 				avoidUntil: 0,
 				coldCredit: 0,
 				coldAt: Infinity,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -248,8 +248,8 @@
 } from './gateway/key-range.js';
 export {moved, planKeys, without, type KeyMove} from './gateway/key-plan.js';
 export {
+	KeyRecorder,
 	totalTraffic,
-	TrafficRecorder,
 	type KeyTraffic,
 } from './gateway/key-traffic.js';
 export {planLoad} from './gateway/load-plan.js';
--- a/packages/core/test/gateway/gateway.test.ts
+++ b/packages/core/test/gateway/gateway.test.ts
@@ -181,7 +181,7 @@
 	const loads = new ServerLoads(new SeededRandom(1));
 	const servers = [server('a'), server('b')];
 	loads.sent('a');
-	loads.reported('a', {running: 3, waiting: 2}, 0);
+	loads.reported('a', {running: 3, waiting: 2, slots: 3}, 0);
 	loads.ended('a', 'answered', 0);
 	loads.sent('b');
 	t.is(loads.choose(servers, 10)?.backendServer, 'b');
@@ -208,3 +208,44 @@
 
 	t.true(taken >= 4 && taken <= 5, `${taken}`);
 });
+
+test('a server that is slow gets a request only once a fast one has several, until it is forgotten', (t) => {
+	const loads = new ServerLoads(new SeededRandom(1));
+	const servers = [server('fast'), server('usual'), server('slow')];
+	const calm = {running: 1, waiting: 0, slots: 3};
+	for (let count = 0; count < 30; count++) {
+		loads.ran('fast', 100, calm, 0);
+		loads.ran('usual', 200, calm, 0);
+		// Twice as long as it runs, since as many wait as run.
+		loads.ran('slow', 800, {running: 3, waiting: 3, slots: 3}, 0);
+	}
+
+	t.deepEqual(
+		[...loads.runTimes(servers)],
+		[
+			['fast', 100],
+			['usual', 200],
+			['slow', 400],
+		],
+	);
+	const chosen: string[] = [];
+	for (let count = 0; count < 9; count++) {
+		const {backendServer} = loads.choose(servers, 0)!;
+		loads.sent(backendServer);
+		chosen.push(backendServer);
+	}
+
+	const count = (name: string) => chosen.filter((one) => one === name).length;
+	t.deepEqual([count('fast'), count('usual'), count('slow')], [6, 2, 1]);
+	for (const name of chosen) {
+		loads.ended(name, 'answered', 0);
+	}
+
+	const later = new Set(
+		Array.from(
+			{length: 50},
+			() => loads.choose(servers, 600_000)!.backendServer,
+		),
+	);
+	t.is(later.size, 3);
+});
--- a/packages/core/test/gateway/key-load.test.ts
+++ b/packages/core/test/gateway/key-load.test.ts
@@ -2,12 +2,12 @@
 import fc from 'fast-check';
 import {
 	isHeldBy,
+	KeyRecorder,
 	moved,
 	planKeys,
 	planLoad,
 	SeededRandom,
 	totalTraffic,
-	TrafficRecorder,
 	type KeyTraffic,
 	type ListedServer,
 	type RangeTable,
@@ -140,19 +140,14 @@
 	);
 });
 
-test('a recorder forgets old requests, and takes waiting out of the time that a request ran', (t) => {
-	const recorder = new TrafficRecorder(new SeededRandom(1));
+test('a recorder forgets old requests', (t) => {
+	const recorder = new KeyRecorder(new SeededRandom(1));
 	recorder.asked(7, 0);
 	recorder.asked(7, 1000);
 	recorder.asked(9, 2000);
-	recorder.answered('a', 600, {waiting: 6, slots: 3});
-	const {rates, runMs: runs} = recorder.traffic(2500);
-	t.is(rates.get(7), 2 / 3);
-	t.is(runs.get('a'), 200);
-	t.deepEqual([...recorder.traffic(3500).rates.keys()], [7, 9]);
-	t.is(recorder.traffic(9000).rates.size, 0);
-	recorder.keep(new Set());
-	t.is(recorder.traffic(9000).runMs.size, 0);
+	t.is(recorder.rates(2500).get(7), 2 / 3);
+	t.deepEqual([...recorder.rates(3500).keys()], [7, 9]);
+	t.is(recorder.rates(9000).size, 0);
 });
 
 test('rates of all daemons add up, and run times are averaged', (t) => {
--- a/packages/daemon/src/gateway/gateway-exchange.ts
+++ b/packages/daemon/src/gateway/gateway-exchange.ts
@@ -17,6 +17,7 @@
 import {RequestBody} from '../requests/request-body.js';
 import {type ExchangeMeans} from './exchange-means.js';
 import {sendEnd, type RequestEnd} from './request-end.js';
+import {type Wanted} from './server-picks.js';
 import {holdLen, Sending} from './sending.js';
 
 /** What a caller allows that does not say. */
@@ -29,8 +30,6 @@
 const ownerWaitShare = 0.3;
 const configRetryMs: Millis = 500;
 const ownerPollMs: Millis = 25;
-/** A holder that declined is asked again after this: keys change hands in less, and a slot is likely to be free. */
-const ownerAgainMs: Millis = 250;
 /** About one run of the shortest requests: a slot is likely to be free by then. */
 const declinedRetryMs: Millis = 300;
 
@@ -144,9 +143,9 @@
 		const tried: string[] = [];
 		let before: AttemptEnd | undefined;
 		let sends = 0;
-		let declined: {readonly by: string; readonly at: Millis} | undefined;
+		let declined: Wanted['declined'];
 		while (!this.#gone) {
-			const picked = picks.pick({service, key, tried});
+			const picked = picks.pick({service, key, tried, declined});
 			if (picked.isLeft()) {
 				const refusal = picked.extract();
 				if (refusal.reason === 'no-owner' && this.#mayWait(asked)) {
@@ -158,12 +157,6 @@
 			}
 
 			const server = picked.unsafeCoerce();
-			const isSame = server.backendServer === declined?.by;
-			if (isSame && clock.now() - declined!.at < ownerAgainMs) {
-				await clock.sleep(ownerPollMs);
-				continue;
-			}
-
 			if (sends > 0) {
 				budget.spend();
 			}
--- a/packages/daemon/src/gateway/sending.ts
+++ b/packages/daemon/src/gateway/sending.ts
@@ -58,7 +58,7 @@
 	}
 
 	async run(): Promise<AttemptEnd> {
-		const {picks, connections, clock, log, view, traffic} = this.means;
+		const {picks, connections, clock, log, view} = this.means;
 		const {id, service, until, server, number} = this.plan;
 		const {backendServer, address} = server;
 		const leftMs = Math.max(1, until - clock.now());
@@ -77,10 +77,9 @@
 		this.#attempt.send(dispatcher);
 		const end = await this.#attempt.ended;
 		picks.loads.ended(backendServer, sendingEnd(end), clock.now());
-		if (end.kind === 'answered' && service.keyed && this.#load) {
+		if (end.kind === 'answered' && this.#load) {
 			const {latencyMs} = this.#attempt;
-			const recorder = traffic.of(service.service);
-			recorder.answered(backendServer, latencyMs, this.#load);
+			picks.loads.ran(backendServer, latencyMs, this.#load, clock.now());
 		}
 
 		if (end.kind !== 'answered') {
--- a/packages/daemon/src/gateway/server-picks.ts
+++ b/packages/daemon/src/gateway/server-picks.ts
@@ -5,6 +5,7 @@
 	ServerLoads,
 	type Clock,
 	type ListedServer,
+	type Millis,
 	type Random,
 	type RoutedService,
 } from '@kingcuproute/core';
@@ -20,10 +21,14 @@
 	readonly key: number | undefined;
 	/** Servers that have had the request. */
 	readonly tried: readonly string[];
+	/** The last holder of the key that declined, and when. */
+	readonly declined: {readonly by: string; readonly at: Millis} | undefined;
 };
 
 /** About one run of the shortest requests: a slot is likely to be free by then. */
 const overloadedRetryMs = 300;
+/** A holder that declined is asked again after this: keys change hands in less, and a slot is likely to be free. */
+const ownerAgainMs: Millis = 250;
 /** About the time in which keys change hands. */
 const noOwnerRetryMs = 500;
 
@@ -46,7 +51,7 @@
 		return wanted.service.keyed ? this.#owner(wanted) : this.#any(wanted);
 	}
 
-	#owner({service, key}: Wanted): Either<RequestEnd, ListedServer> {
+	#owner({service, key, declined}: Wanted): Either<RequestEnd, ListedServer> {
 		const table = this.view.view.value.rangeTables.get(service.service);
 		if (key === undefined) {
 			return Left({reason: 'bad-request', notRun: true});
@@ -56,7 +61,10 @@
 		const owner = this.#serving(service).find(
 			(server) => range && isHeldBy(range, server),
 		);
-		if (!owner) {
+		const isAskedAgain =
+			owner?.backendServer === declined?.by &&
+			this.clock.now() - (declined?.at ?? 0) < ownerAgainMs;
+		if (!owner || isAskedAgain) {
 			return Left({
 				reason: 'no-owner',
 				notRun: true,
--- a/packages/daemon/src/gateway/traffic-task.ts
+++ b/packages/daemon/src/gateway/traffic-task.ts
@@ -4,7 +4,7 @@
  */
 import {
 	fold,
-	TrafficRecorder,
+	KeyRecorder,
 	type Clock,
 	type KeyTraffic,
 	type Millis,
@@ -20,6 +20,7 @@
 import {inject, singleton} from 'tsyringe';
 import {Log} from '../log/log.js';
 import {Task} from '../task/task.js';
+import {ServerPicks} from './server-picks.js';
 import {ViewTask} from './view-task.js';
 
 /** Often enough to follow a key that turns busy for a few seconds. */
@@ -30,12 +31,13 @@
 
 @singleton()
 export class TrafficTask extends Task {
-	readonly #recorders = new Map<string, TrafficRecorder>();
+	readonly #recorders = new Map<string, KeyRecorder>();
 	#revision: number | undefined;
 	#stopped = false;
 
 	constructor(
 		@inject(ViewTask) private readonly view: ViewTask,
+		@inject(ServerPicks) private readonly picks: ServerPicks,
 		@inject('Store') private readonly store: ObjectStore,
 		@inject('Deployment') private readonly deployment: Deployment,
 		@inject('Clock') private readonly clock: Clock,
@@ -43,18 +45,12 @@
 		@inject(Log) private readonly log: Log,
 	) {
 		super();
-		view.view.subscribe(({servers = []}) => {
-			const names = new Set(servers.map(({backendServer}) => backendServer));
-			for (const recorder of this.#recorders.values()) {
-				recorder.keep(names);
-			}
-		});
 	}
 
 	/** The recorder of a service's requests. */
-	of(service: string): TrafficRecorder {
+	of(service: string): KeyRecorder {
 		const recorder =
-			this.#recorders.get(service) ?? new TrafficRecorder(this.random);
+			this.#recorders.get(service) ?? new KeyRecorder(this.random);
 		this.#recorders.set(service, recorder);
 		return recorder;
 	}
@@ -75,7 +71,8 @@
 			await this.clock.sleep(this.random.jitter(Math.max(reportMs, leastMs)));
 			const now = this.clock.now();
 			const services = [...this.#recorders].map(
-				([service, recorder]) => [service, recorder.traffic(now)] as const,
+				([service, recorder]) =>
+					[service, this.#traffic(service, recorder.rates(now))] as const,
 			);
 			const busy = services.filter(([, {rates}]) => rates.size > 0);
 			if (busy.length > 0 && !this.#stopped) {
@@ -84,6 +81,11 @@
 		}
 	}
 
+	#traffic(service: string, rates: KeyTraffic['rates']): KeyTraffic {
+		const servers = this.view.view.value.inService.get(service) ?? [];
+		return {rates, runMs: this.picks.loads.runTimes(servers)};
+	}
+
 	async #report(services: ReadonlyMap<string, KeyTraffic>): Promise<void> {
 		const written = await this.store.write({
 			kind: keyTrafficKind,
