Plan moves of keys beside others, and choose servers that decline less often

Cause: while the keys of a server that is lost wait for its lease, 6 s, no other key could move. A server that declines at once looks idle, and drew more requests. Change: plans are made as if the moves under way were done, and leave their keys alone; the share of requests that a server declined or lost counts as time. Each has a test that failed before.

--- a/packages/core/src/gateway/server-loads.ts
+++ b/packages/core/src/gateway/server-loads.ts
@@ -27,7 +27,7 @@
 const avoidDeclinedMs: Millis = 200;
 /** How much of a new reading goes into a server's run time: a dozen readings outweigh the former ones. */
 const newShare = 0.15;
-/** A run time that is not renewed counts half after this, so that a server that was slow is tried again. */
+/** A run time or a share of failures that is not renewed counts half after this, so that the server is tried again. */
 const runHalfLifeMs: Millis = 5000;
 /** What a request takes at an idle server, against what each request there adds, in runs a slot. */
 const idleWeight = 0.5;
@@ -43,6 +43,9 @@
 	runMs: Millis | undefined;
 	ranAt: Millis;
 	avoidUntil: Millis;
+	/** The part of its newest requests that it declined or lost, as of `failedAt`. */
+	failShare: number;
+	failedAt: Millis;
 	/** Part of a request that may be sent while the server is cold. */
 	coldCredit: number;
 	coldAt: Millis;
@@ -69,6 +72,13 @@
 	ended(server: string, end: SendingEnd, now: Millis): void {
 		const gauge = this.#gauge(server);
 		gauge.inFlight--;
+		if (end !== 'cancelled') {
+			const failed = end === 'answered' ? 0 : 1;
+			const known = this.#failShare(gauge, now);
+			gauge.failShare = known + (failed - known) * newShare;
+			gauge.failedAt = now;
+		}
+
 		if (end === 'lost') {
 			gauge.avoidUntil = now + avoidLostMs;
 		} else if (end === 'declined') {
@@ -125,7 +135,9 @@
 		const slowness = this.#slowness(candidates, now);
 		const rated = open.map(({server, load}) => ({
 			server,
-			time: slowness(server) * (idleWeight + load),
+			time:
+				(slowness(server) * (idleWeight + load)) /
+				(1 - this.#failShare(this.#gauge(server.backendServer), now)),
 		}));
 		const least = Math.min(...rated.map(({time}) => time));
 		return this.random.pick(rated.filter(({time}) => time === least))?.server;
@@ -158,6 +170,11 @@
 		return true;
 	}
 
+	/** Less with time, so that a server that failed is tried again. */
+	#failShare({failShare, failedAt}: Gauge, now: Millis): number {
+		return failShare * 2 ** (-(now - failedAt) / runHalfLifeMs);
+	}
+
 	/** How long a request runs at each server, against the usual 1. */
 	#slowness(
 		candidates: readonly ListedServer[],
@@ -188,6 +205,8 @@
 				runMs: undefined,
 				ranAt: 0,
 				avoidUntil: 0,
+				failShare: 0,
+				failedAt: 0,
 				coldCredit: 0,
 				coldAt: Infinity,
 			};
--- a/packages/core/test/gateway/gateway.test.ts
+++ b/packages/core/test/gateway/gateway.test.ts
@@ -249,3 +249,23 @@
 	);
 	t.is(later.size, 3);
 });
+
+test('a server that declines half of its requests at once gets fewer than one that answers', (t) => {
+	const loads = new ServerLoads(new SeededRandom(1));
+	const servers = [server('sound'), server('shedding')];
+	const got = new Map([
+		['sound', 0],
+		['shedding', 0],
+	]);
+	for (let now = 0; now < 60_000; now += 300) {
+		const {backendServer} = loads.choose(servers, now)!;
+		const count = got.get(backendServer)! + 1;
+		got.set(backendServer, count);
+		loads.sent(backendServer);
+		const isShed = backendServer === 'shedding' && count % 2 === 0;
+		loads.ended(backendServer, isShed ? 'declined' : 'answered', now + 10);
+	}
+
+	t.true(got.get('shedding')! > 0);
+	t.true(got.get('sound')! > 3 * got.get('shedding')!, `${[...got].join(' ')}`);
+});
--- a/packages/daemon/src/gateway/key-keeper.ts
+++ b/packages/daemon/src/gateway/key-keeper.ts
@@ -176,21 +176,33 @@
 		return ranges;
 	}
 
+	/** Plans as if the moves under way were done, and leaves their keys alone. */
 	#plan(): void {
-		if (this.#moving.size > 0) {
+		const pending = [...this.#moving];
+		if (this.#table.ranges.length === 0 && pending.length > 0) {
 			return;
 		}
 
+		let table = this.#table;
+		for (const move of pending) {
+			table = moved(table, move);
+		}
+
 		const servers = this.means.servers();
-		const needed = planKeys(this.#table, servers);
-		const moves = needed.length > 0 ? needed : this.#evenOut(servers);
+		const needed = planKeys(table, servers);
+		const moves = needed.length > 0 ? needed : this.#evenOut(table, servers);
 		for (const move of moves) {
-			this.#moving.add(move);
-			void this.#free(move);
+			if (!pending.some((other) => overlaps(move, other))) {
+				this.#moving.add(move);
+				void this.#free(move);
+			}
 		}
 	}
 
-	#evenOut(servers: readonly ListedServer[]): readonly KeyMove[] {
+	#evenOut(
+		table: RangeTable,
+		servers: readonly ListedServer[],
+	): readonly KeyMove[] {
 		const {clock, traffic, log, service} = this.means;
 		const now = clock.now();
 		if (now < this.#nextLookAt) {
@@ -198,7 +210,7 @@
 		}
 
 		const seen = traffic();
-		const moves = planLoad(this.#table, servers, seen);
+		const moves = planLoad(table, servers, seen);
 		this.#nextLookAt = now + (moves.length > 0 ? settleMs : lookMs);
 		if (moves.length > 0) {
 			const count = moves.length;
@@ -264,3 +276,7 @@
 		}
 	}
 }
+
+function overlaps(a: KeyMove, b: KeyMove): boolean {
+	return a.from <= b.to && b.from <= a.to;
+}
--- a/packages/daemon/test/gateway-keeper.test.ts
+++ b/packages/daemon/test/gateway-keeper.test.ts
@@ -386,3 +386,28 @@
 	});
 	t.notDeepEqual(orders.holding(0), orders.holding(20_000));
 });
+
+test('busy keys move while those of a lost server still wait for its lease', async (t) => {
+	const {orders, pass, see, list} = fleet(['x'], ['a', 'b', 'c']);
+	await pass(1500, () => undefined);
+	orders.silent.add('c');
+	list(['a', 'b']);
+	const names = ['a', 'b'];
+	see({
+		rates: new Map([
+			[0, 6],
+			[20_000, 6],
+		]),
+		runMs: new Map(names.map((name) => [name, 200])),
+	});
+	t.deepEqual(orders.holding(0), orders.holding(20_000));
+	await pass(2500, () => {
+		t.true(someKeys.every((key) => orders.holding(key).length <= 1));
+	});
+	t.notDeepEqual(orders.holding(0), orders.holding(20_000));
+	t.deepEqual(orders.holding(65_535), ['c']);
+	await pass(8000, () => {
+		t.true(someKeys.every((key) => orders.holding(key).length <= 1));
+	});
+	t.true(someKeys.every((key) => names.includes(orders.holding(key)[0])));
+});
