--- a/packages/daemon/src/gateway/keeper-lease.ts
+++ b/packages/daemon/src/gateway/keeper-lease.ts
@@ -12,6 +12,7 @@
 	type StoredObject,
 } from '@kingcuproute/platform';
 import {type Log} from '../log/log.js';
+import {slowNewsMs} from './kind-follower.js';
 
 /** A third of the lease: two beats may be lost. */
 const beatMs: Millis = 1000;
@@ -29,6 +30,8 @@
 };
 
 export class KeeperLease {
+	/** Whether news of beats come slowly, so that one not heard of means nothing yet. */
+	patient = false;
 	#held: StoredObject | undefined;
 	#changedAt: Millis;
 	#until: Millis = -Infinity;
@@ -134,7 +137,8 @@
 		const stoodDown = parseKeeper(this.#held.spec)
 			.map(({vm}) => vm === '')
 			.orDefault(false);
-		return stoodDown || now - this.#changedAt > leaseMs + marginMs;
+		const lateMs = this.patient ? slowNewsMs : 0;
+		return stoodDown || now - this.#changedAt > leaseMs + marginMs + lateMs;
 	}
 
 	#distrustAfterStop(): void {
--- a/packages/daemon/src/gateway/keepers-task.ts
+++ b/packages/daemon/src/gateway/keepers-task.ts
@@ -65,7 +65,7 @@
 			}
 		});
 		this.view.view.subscribe(() => {
-			this.#leases.slow = !this.#standsBy();
+			this.#setPace();
 			this.#follow();
 		});
 		this.#leases.start();
@@ -92,6 +92,14 @@
 		}
 	}
 
+	#setPace(): void {
+		const slow = !this.#standsBy();
+		this.#leases.slow = slow;
+		for (const {lease} of this.#keepers.values()) {
+			lease.patient = slow;
+		}
+	}
+
 	/** Whether this daemon is one of those that watch the keepers' beats. */
 	#standsBy(): boolean {
 		const {vm} = this.deployment;
@@ -167,6 +175,7 @@
 		lease.heard(this.#leases.objects.value?.get(service));
 		keeper.heard(view.rangeTableObjects.objects.value?.get(service));
 		this.#keepers.set(service, {lease, keeper});
+		this.#setPace();
 		keeper.start();
 	}
 }
--- a/packages/daemon/src/gateway/kind-follower.ts
+++ b/packages/daemon/src/gateway/kind-follower.ts
@@ -18,6 +18,8 @@
 const slowMs: Millis = 5000;
 /** How soon a follower notices that it is to be quick again. */
 const paceCheckMs: Millis = 500;
+/** How old news of a kind that is followed slowly may be, beside a failed call: the spread goes up to half as much again. */
+export const slowNewsMs: Millis = 1.5 * slowMs + paceCheckMs;
 /** Between two tries while the store does not answer; spread, since all daemons try. */
 const retryMs: Millis = 300;
 
--- a/packages/daemon/test/gateway-keeper.test.ts
+++ b/packages/daemon/test/gateway-keeper.test.ts
@@ -411,3 +411,17 @@
 	});
 	t.true(someKeys.every((key) => names.includes(orders.holding(key)[0])));
 });
+
+test('a daemon that hears of beats late takes the lease only once none can be on its way', async (t) => {
+	const {daemons, pass, cut} = fleet(['x', 'y'], ['a', 'b']);
+	await pass(1500, () => undefined);
+	const first = daemons.find(({lease}) => lease.isHeld)!;
+	const second = daemons.find(({lease}) => !lease.isHeld)!;
+	second.lease.patient = true;
+	cut.add(first.vm);
+	await pass(8000, () => {
+		t.false(second.lease.isHeld);
+	});
+	await pass(6000, () => undefined);
+	t.true(second.lease.isHeld);
+});
