--- a/packages/daemon/src/gateway/kind-follower.ts
+++ b/packages/daemon/src/gateway/kind-follower.ts
@@ -21,7 +21,7 @@
 /** How old news of a kind that is followed slowly may be, beside a failed call: the spread goes up to half as much again. */
 export const slowNewsMs: Millis = 1.5 * slowMs + paceCheckMs;
 /** Between two tries while the store does not answer; spread, since all daemons try. */
-const retryMs: Millis = 300;
+const retryMs: Millis = 500;
 
 export type Objects = ReadonlyMap<string, StoredObject>;
 
--- a/packages/daemon/src/gateway/view-task.ts
+++ b/packages/daemon/src/gateway/view-task.ts
@@ -80,6 +80,8 @@
 			daemonsKind,
 		].map((kind) => follow(kind));
 		this.rangeTableObjects = rangeTables;
+		// A daemon more or less changes the others' parts by little.
+		daemons.slow = true;
 		this.#followers = [config, servers, evacuations, rangeTables, daemons];
 		config.objects.subscribe((objects) => {
 			this.#configure(objects);
