End leases of moved keys on their own, read settings at SIGHUP, explain from logs

Ruled out: a server that had lost its grants (it answered renewals). Change: a move waits for the lease as it was when it began. A holder may have a declined request again; after one that may have run, no answer says not-run. Before: the new tests fail.

--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -1,7 +1,9 @@
-/** Why a request went where it went, or why a key lives where it lives, from the decisions that daemons keep. */
+/** Why a request went where it went, or why a key lives where it lives, from the decisions that daemons keep or from their logs. */
+import process from 'node:process';
 import {Left, Right} from 'purify-ts';
 import {exitCodes} from '../exit-code.js';
 import {run, type Parser} from './command.js';
+import {explainLog} from './explain-log.js';
 import {ownerOf, ownershipText} from './owner.js';
 
 type Decision = Readonly<Record<string, string | number | boolean>>;
@@ -17,10 +19,26 @@
 				.option('service', {
 					type: 'string',
 					describe: 'SUBJECT is a key of this service',
+				})
+				.option('log', {
+					type: 'string',
+					array: true,
+					nargs: 1,
+					describe:
+						'read the logs in this file, - for standard input, and ask nobody',
 				}),
-		async (argv) =>
-			run(argv, async (session) => {
-				const {subject, service} = argv;
+		async (argv) => {
+			const {subject, service, log} = argv;
+			if (log) {
+				process.exitCode = await explainLog(
+					argv,
+					{name: subject, service},
+					log,
+				);
+				return;
+			}
+
+			await run(argv, async (session) => {
 				const owner = service
 					? await ownerOf(session, service, subject)
 					: undefined;
@@ -51,7 +69,8 @@
 				];
 				session.output.result(lines.join('\n'), {ownership, decisions});
 				return Right(undefined);
-			}),
+			});
+		},
 	);
 }
 
--- a/packages/cli/src/container.ts
+++ b/packages/cli/src/container.ts
@@ -19,12 +19,16 @@
 	readonly close: () => Promise<void>;
 };
 
+/** Where results go. */
+export function outputOf({output}: Pick<GlobalOptions, 'output'>): Output {
+	return output === 'json' ? new JsonOutput() : new TextOutput();
+}
+
 /** Opens a session with the given options. */
 export function openSession(options: GlobalOptions): OpenSession {
 	const clock = new SystemClock();
 	const platform = new HttpPlatform({origin: options.platform}, clock);
-	const output =
-		options.output === 'json' ? new JsonOutput() : new TextOutput();
+	const output = outputOf(options);
 	const child = container.createChildContainer();
 	child.registerInstance<Clock>('Clock', clock);
 	child.registerInstance<Platform>('Platform', platform);
--- a/packages/cli/src/kingcuproute.ts
+++ b/packages/cli/src/kingcuproute.ts
@@ -21,7 +21,8 @@
 	)
 	.option('platform', {
 		type: 'string',
-		demandOption: true,
+		default: '',
+		defaultDescription: 'none',
 		describe: 'origin of the object API, as in http://10.0.0.1:8080',
 	})
 	.option('operator', {
@@ -37,6 +38,13 @@
 		default: 'text' as const,
 	})
 	.config('config', 'a JSON file with any of these options')
+	.check(({platform, log}) => {
+		if (platform === '' && log === undefined) {
+			throw new Error('Missing required argument: platform');
+		}
+
+		return true;
+	})
 	.version(false);
 
 const documents = (kind: DocumentKind) => (command: Parser) =>
--- a/packages/daemon/src/gateway/gateway-exchange.ts
+++ b/packages/daemon/src/gateway/gateway-exchange.ts
@@ -9,6 +9,7 @@
 	headerFault,
 	ranAfter,
 	type AttemptEnd,
+	type ListedServer,
 	type Millis,
 	type RoutedService,
 	type RouteRule,
@@ -37,13 +38,18 @@
 	readonly id: string;
 	readonly rule: RouteRule;
 	readonly service: RoutedService;
+	/** For a service divided by key. */
+	readonly key: number | undefined;
 	readonly body: RequestBody;
 	readonly arrivedAt: Millis;
 	/** When the caller has to have its answer. */
 	readonly until: Millis;
+	/** Of the configuration by which it is routed. */
+	readonly version: number;
 };
 
 export class GatewayExchange {
+	#asked: Asked | undefined;
 	#sending: Sending | undefined;
 	#gone = false;
 
@@ -70,12 +76,14 @@
 
 		const {log, clock} = this.means;
 		const tookMs = Math.round(clock.now() - arrivedAt);
+		const {service, key, version} = this.#asked ?? {};
+		const fields = {id, service: service?.service, key, version, tookMs};
 		if (!end) {
-			log.routing('request-ended', {id, tookMs, gone: this.#gone});
+			log.routing('request-ended', {...fields, gone: this.#gone});
 			return;
 		}
 
-		log.routing('request-refused', {id, tookMs, ...end});
+		log.routing('request-refused', {...fields, ...end});
 		sendEnd(this.res, end);
 	}
 
@@ -115,9 +123,14 @@
 
 		const until = arrivedAt + Math.min(allowedMs, rule.timeoutMs) - returnMs;
 		const body = await this.#body(bodyLen);
-		return body
-			? this.#send({id, rule, service, body, arrivedAt, until})
-			: undefined;
+		if (!body) {
+			return undefined;
+		}
+
+		const key = service.keyed ? this.#key() : undefined;
+		const {version} = routes.config;
+		this.#asked = {id, rule, service, key, body, arrivedAt, until, version};
+		return this.#send(this.#asked);
 	}
 
 	/** The body, whole where it is not too long; undefined once the caller is gone. */
@@ -134,18 +147,16 @@
 
 	async #send(asked: Asked): Promise<RequestEnd | undefined> {
 		const {picks, clock, budget, traffic} = this.means;
-		const {rule, service, until} = asked;
-		const key = this.#key();
+		const {service, key} = asked;
 		if (service.keyed && key !== undefined) {
 			traffic.of(service.service).asked(key, clock.now());
 		}
 
 		const tried: string[] = [];
 		let before: AttemptEnd | undefined;
-		let sends = 0;
-		let declined: Wanted['declined'];
+		let failed: Wanted['failed'];
 		while (!this.#gone) {
-			const picked = picks.pick({service, key, tried, declined});
+			const picked = picks.pick({service, key, tried, failed});
 			if (picked.isLeft()) {
 				const refusal = picked.extract();
 				if (refusal.reason === 'no-owner' && this.#mayWait(asked)) {
@@ -157,19 +168,16 @@
 			}
 
 			const server = picked.unsafeCoerce();
-			if (sends > 0) {
+			if (before) {
+				if (!this.#mayGoOn(asked, server.backendServer, tried)) {
+					return endAfter(before, undefined);
+				}
+
 				budget.spend();
 			}
 
-			sends++;
 			tried.push(server.backendServer);
-			this.#sending = new Sending(this.means, this.req, this.res, {
-				...asked,
-				server,
-				number: sends,
-			});
-			const end = await this.#sending.run();
-			before = end;
+			const end = await this.#sendTo(server, asked, tried.length);
 			if (end.kind === 'answered') {
 				budget.earn();
 				return undefined;
@@ -180,25 +188,46 @@
 				return undefined;
 			}
 
+			// Once it may have run, a later sending that did not says nothing of that.
+			before = before && ranAfter(before) !== 'not-run' ? before : end;
 			const mayRepeat =
-				rule.repeatability === 'safe' || ranAfter(end) === 'not-run';
-			const isWorth =
-				sends < rule.maxAttempts &&
-				budget.hasOne &&
-				until - clock.now() > minSendMs &&
-				asked.body.replayable;
-			if (!mayRepeat || !isWorth) {
-				return endAfter(end, undefined);
+				asked.rule.repeatability === 'safe' || ranAfter(end) === 'not-run';
+			if (!mayRepeat || !this.#mayGoOn(asked, server.backendServer, tried)) {
+				return endAfter(before, undefined);
 			}
 
-			if (service.keyed && end.kind === 'declined') {
-				declined = {by: server.backendServer, at: clock.now()};
-			}
+			failed = {by: server.backendServer, at: clock.now()};
 		}
 
 		return undefined;
 	}
 
+	async #sendTo(
+		server: ListedServer,
+		asked: Asked,
+		number: number,
+	): Promise<AttemptEnd> {
+		const plan = {...asked, server, number};
+		this.#sending = new Sending(this.means, this.req, this.res, plan);
+		return this.#sending.run();
+	}
+
+	/** Whether the request is sent once more, to `next`; the holder of its key may have it again. */
+	#mayGoOn(
+		{rule, until, body}: Asked,
+		next: string,
+		tried: readonly string[],
+	): boolean {
+		const {budget, clock} = this.means;
+		const servers = new Set([...tried, next]).size;
+		return (
+			servers <= rule.maxAttempts &&
+			budget.hasOne &&
+			until - clock.now() > minSendMs &&
+			body.replayable
+		);
+	}
+
 	#mayWait({arrivedAt, until}: Asked): boolean {
 		const {clock} = this.means;
 		return clock.now() - arrivedAt < (until - arrivedAt) * ownerWaitShare;
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -1,6 +1,13 @@
 /** The daemon as it runs on the platform: its parts, started and stopped in order. */
 import {randomInt} from 'node:crypto';
-import {SeededRandom, type Clock, type Random} from '@kingcuproute/core';
+import {isDeepStrictEqual} from 'node:util';
+import {
+	fold,
+	SeededRandom,
+	type Checked,
+	type Clock,
+	type Random,
+} from '@kingcuproute/core';
 import {
 	HttpKeyOrders,
 	HttpObjectStore,
@@ -25,7 +32,7 @@
 	readonly #traffic: TrafficTask;
 	readonly #log: Log;
 
-	constructor(deployment: Deployment) {
+	constructor(private readonly deployment: Deployment) {
 		const parts = container.createChildContainer();
 		const clock = new SystemClock();
 		const {vm, failureDomain} = deployment;
@@ -56,6 +63,25 @@
 		await this.#traffic.start();
 	}
 
+	/** Takes in a settings file that has changed. What differs is logged and holds from the next start. */
+	reread(settings: Checked<Deployment>): void {
+		fold(
+			settings,
+			([{path, message}]) => {
+				this.#log.warn('settings-refused', {path, message});
+			},
+			(next) => {
+				const changed = Object.entries(next)
+					.filter(([name, value]) => {
+						const held = this.deployment[name as keyof Deployment];
+						return !isDeepStrictEqual(held, value);
+					})
+					.map(([name]) => name);
+				this.#log.info('settings-read', {changed: changed.join(',')});
+			},
+		);
+	}
+
 	/** Gives its duties away at once, and answers callers until they are gone. */
 	async stop(): Promise<void> {
 		this.#log.info('stopping');
--- a/packages/daemon/src/gateway/keepers-task.ts
+++ b/packages/daemon/src/gateway/keepers-task.ts
@@ -58,6 +58,8 @@
 			for (const [service, {lease}] of this.#keepers) {
 				lease.heard(objects?.get(service));
 			}
+
+			this.#follow();
 		});
 		this.view.rangeTableObjects.objects.subscribe((objects) => {
 			for (const [service, {keeper}] of this.#keepers) {
--- a/packages/daemon/src/gateway/key-grants.ts
+++ b/packages/daemon/src/gateway/key-grants.ts
@@ -97,18 +97,20 @@
 		to: number,
 	): Promise<string | undefined> {
 		const run = this.#run(holder.owner, holder.ownerStartedAt);
+		// These keys are not renewed any more; the server's other keys go on.
+		const overAt = run.leaseOverAt;
 		const released = await this.#release(holder, from, to, run);
 		if (!released) {
-			await this.#lapse(run);
+			await this.#lapse(run, overAt);
 		}
 
 		return released?.handover;
 	}
 
-	async #lapse(run: Run): Promise<void> {
+	async #lapse(run: Run, overAt: Millis): Promise<void> {
 		const {clock, lease} = this.means;
 		for (;;) {
-			const leftMs = run.leaseOverAt - clock.now();
+			const leftMs = overAt - clock.now();
 			if (run.ended || leftMs <= 0 || !lease.isHeld) {
 				return;
 			}
--- a/packages/daemon/src/gateway/main.ts
+++ b/packages/daemon/src/gateway/main.ts
@@ -14,7 +14,8 @@
 	process.exit(exitInvalid);
 }
 
-const deployment = parseDeployment(readFileSync(file, 'utf8'));
+const readSettings = () => parseDeployment(readFileSync(file, 'utf8'));
+const deployment = readSettings();
 deployment.ifLeft((faults) => {
 	for (const {path, message} of faults) {
 		process.stderr.write(`${file}: ${path}: ${message}\n`);
@@ -23,6 +24,9 @@
 	process.exit(exitInvalid);
 });
 const gateway = new Gateway(deployment.unsafeCoerce());
+process.on('SIGHUP', () => {
+	gateway.reread(readSettings());
+});
 await gateway.start();
 process.once('SIGTERM', () => {
 	void (async () => {
--- a/packages/daemon/src/gateway/sending.ts
+++ b/packages/daemon/src/gateway/sending.ts
@@ -33,6 +33,10 @@
 export type SendingPlan = {
 	readonly id: string;
 	readonly service: RoutedService;
+	/** For a service divided by key. */
+	readonly key: number | undefined;
+	/** Of the configuration by which it is routed. */
+	readonly version: number;
 	readonly body: RequestBody;
 	readonly until: Millis;
 	readonly server: ListedServer;
@@ -59,7 +63,7 @@
 
 	async run(): Promise<AttemptEnd> {
 		const {picks, connections, clock, log, view} = this.means;
-		const {id, service, until, server, number} = this.plan;
+		const {id, service, key, version, until, server, number} = this.plan;
 		const {backendServer, address} = server;
 		const leftMs = Math.max(1, until - clock.now());
 		const each = Math.floor(service.connections / view.view.value.daemons);
@@ -70,6 +74,9 @@
 			service: service.service,
 			backendServer,
 			number,
+			version,
+			key,
+			fence: picks.fence(service.service, key),
 			load: Number(picks.loads.load(server, clock.now()).toFixed(2)),
 			leftMs: Math.round(leftMs),
 		});
--- a/packages/daemon/src/gateway/server-picks.ts
+++ b/packages/daemon/src/gateway/server-picks.ts
@@ -21,13 +21,13 @@
 	readonly key: number | undefined;
 	/** Servers that have had the request. */
 	readonly tried: readonly string[];
-	/** The last holder of the key that declined, and when. */
-	readonly declined: {readonly by: string; readonly at: Millis} | undefined;
+	/** The server at which the last sending failed, and when. */
+	readonly failed: {readonly by: string; readonly at: Millis} | undefined;
 };
 
 /** About one run of the shortest requests: a slot is likely to be free by then. */
 const overloadedRetryMs = 300;
-/** A holder that declined is asked again after this: keys change hands in less, and a slot is likely to be free. */
+/** A holder that declined or lost a request is asked again after this: keys change hands in less, and a slot is likely to be free. */
 const ownerAgainMs: Millis = 250;
 /** About the time in which keys change hands. */
 const noOwnerRetryMs = 500;
@@ -47,11 +47,17 @@
 		});
 	}
 
+	/** By which fence a key is held, as this daemon knows it. */
+	fence(service: string, key: number | undefined): number | undefined {
+		const table = this.view.view.value.rangeTables.get(service);
+		return table && key !== undefined ? rangeOf(table, key)?.fence : undefined;
+	}
+
 	pick(wanted: Wanted): Either<RequestEnd, ListedServer> {
 		return wanted.service.keyed ? this.#owner(wanted) : this.#any(wanted);
 	}
 
-	#owner({service, key, declined}: Wanted): Either<RequestEnd, ListedServer> {
+	#owner({service, key, failed}: Wanted): Either<RequestEnd, ListedServer> {
 		const table = this.view.view.value.rangeTables.get(service.service);
 		if (key === undefined) {
 			return Left({reason: 'bad-request', notRun: true});
@@ -62,8 +68,8 @@
 			(server) => range && isHeldBy(range, server),
 		);
 		const isAskedAgain =
-			owner?.backendServer === declined?.by &&
-			this.clock.now() - (declined?.at ?? 0) < ownerAgainMs;
+			owner?.backendServer === failed?.by &&
+			this.clock.now() - (failed?.at ?? 0) < ownerAgainMs;
 		if (!owner || isAskedAgain) {
 			return Left({
 				reason: 'no-owner',
--- a/packages/daemon/test/gateway-keeper.test.ts
+++ b/packages/daemon/test/gateway-keeper.test.ts
@@ -101,6 +101,8 @@
 class HoldingServers extends KeyOrders {
 	readonly holds = new Map<string, Hold[]>();
 	readonly silent = new Set<string>();
+	/** Servers that take grants and do not answer them. */
+	readonly unanswered = new Set<string>();
 	/** How long a server takes to answer a release. */
 	readonly releaseMs = new Map<string, Millis>();
 	/** What runs at an address in place of the server of that name. */
@@ -127,6 +129,11 @@
 		const rest = this.#rest(address, from, to);
 		const until = this.timers.now() + leaseMs;
 		this.holds.set(address, [...rest, {from, to, fence, until}]);
+		if (this.unanswered.has(address)) {
+			await this.timers.sleep(timeoutMs);
+			return {kind: 'unknown', message: 'no answer'};
+		}
+
 		return {kind: 'taken', handover: undefined};
 	}
 
@@ -425,3 +432,26 @@
 	await pass(6000, () => undefined);
 	t.true(second.lease.isHeld);
 });
+
+test('keys of a server that left a grant unanswered are served again, whatever else it holds', async (t) => {
+	const {orders, pass, see, list} = fleet(['x'], ['a', 'b']);
+	await pass(1500, () => undefined);
+	orders.unanswered.add('a');
+	await pass(2000, () => undefined);
+	orders.unanswered.delete('a');
+	list(['a', 'b', 'c']);
+	see({
+		rates: new Map([
+			[0, 6],
+			[20_000, 6],
+			[60_000, 6],
+		]),
+		runMs: new Map(['a', 'b', 'c'].map((name) => [name, 200])),
+	});
+	await pass(9000, () => {
+		t.true(someKeys.every((key) => orders.holding(key).length <= 1));
+	});
+	await pass(9000, () => {
+		t.true(someKeys.every((key) => orders.holding(key).length === 1));
+	});
+});
--- a/packages/fakes/test/gateway-site.ts
+++ b/packages/fakes/test/gateway-site.ts
@@ -11,6 +11,7 @@
 import {type AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
+import process from 'node:process';
 import {settingsVariable} from '@kingcuproute/platform';
 import {type ExecutionContext} from 'ava'; // eslint-disable-line ava/use-test
 import {request} from 'undici';
@@ -69,6 +70,7 @@
 	readonly store = new StandInStore();
 	entry = '';
 	readiness = '';
+	settingsFile = '';
 	#daemon: Child | undefined;
 	readonly #servers: Server[] = [];
 	readonly #folder = mkdtempSync(path.join(tmpdir(), 'gateway-'));
@@ -126,6 +128,7 @@
 			'terms.bounds.budgetWindowS=10',
 		];
 		writeFileSync(file, settings.join('\n'));
+		this.settingsFile = file;
 		this.#daemon = new Child('gateway', main, [], {[settingsVariable]: file});
 		const line = await this.#daemon.line('event=listening');
 		[, this.entry, this.readiness] =
@@ -163,6 +166,17 @@
 		return status;
 	}
 
+	/** What the daemon has logged so far. */
+	log(): readonly string[] {
+		return this.#daemon!.lines;
+	}
+
+	/** Tells the daemon that its settings file has changed; resolves with the line that it logs then. */
+	async hangUp(event: string): Promise<string> {
+		process.kill(this.#daemon!.pid, 'SIGHUP');
+		return this.#daemon!.line(`event=${event}`);
+	}
+
 	/** Asks the daemon to stop; resolves with its exit code. */
 	async term(): Promise<number | undefined> {
 		return this.#daemon!.end('SIGTERM');
--- a/packages/fakes/test/gateway.test.ts
+++ b/packages/fakes/test/gateway.test.ts
@@ -1,3 +1,4 @@
+import {readFileSync, writeFileSync} from 'node:fs';
 import {type IncomingMessage} from 'node:http';
 import test from 'ava';
 import {request} from 'undici';
@@ -65,6 +66,59 @@
 	}
 });
 
+test('a safe request that was lost once is not said not to have run, whatever declines it after', async (t) => {
+	const made = site(t);
+	let runs = 0;
+	const act: Act = (req, res) => {
+		runs++;
+		if (runs === 1) {
+			res.destroy();
+			return;
+		}
+
+		res.writeHead(503, {
+			'x-kingcuproute-request-id': String(
+				req.headers['x-kingcuproute-request-id'],
+			),
+			'x-kingcuproute-not-executed': '1',
+		});
+		res.end();
+	};
+
+	await made.add('i-1', 'plain', act);
+	await made.add('i-2', 'plain', act);
+	await made.start();
+	t.is(await made.status('/read/x'), 502);
+	t.is(runs, 2);
+});
+
+test('a holder that declines a key is asked again, more often than there may be servers', async (t) => {
+	const made = site(t);
+	let asked = 0;
+	await made.add('i-1', 'keyed', (req, res, body) => {
+		asked++;
+		if (asked <= 2) {
+			res.writeHead(421, {
+				'x-kingcuproute-request-id': String(
+					req.headers['x-kingcuproute-request-id'],
+				),
+			});
+			res.end();
+		} else {
+			answer(req, res, body);
+		}
+	});
+	await made.start();
+	const key = {'x-kingcuproute-shard-key': '7'};
+	const statuses: number[] = [];
+	await until(async () => {
+		statuses.push(await made.status('/clock/', key));
+		return asked > 0;
+	});
+	t.is(statuses.at(-1), 200);
+	t.is(asked, 3);
+});
+
 test('an answer to another request is passed to nobody', async (t) => {
 	const made = site(t);
 	await made.add('i-1', 'plain', (req, res, body) => {
@@ -159,3 +213,15 @@
 	t.is(status, 200);
 	t.is(await ended, 0);
 });
+
+test('a hangup has the settings read again, and the daemon goes on whatever they say', async (t) => {
+	const made = site(t);
+	await made.add('i-1', 'plain', answer);
+	await made.start();
+	const settings = readFileSync(made.settingsFile, 'utf8');
+	writeFileSync(made.settingsFile, settings.replace('graceS=6', 'graceS=7'));
+	t.regex(await made.hangUp('settings-read'), /changed=bounds/);
+	writeFileSync(made.settingsFile, settings.replace('graceS=6', 'graceS=long'));
+	t.regex(await made.hangUp('settings-refused'), /graceS/);
+	t.is(await made.status('/book/x', {}, 'b'), 200);
+});
