Take the lease of a former run on the same VM at once

Change: the lease of a former run on this VM is free, since that run has ended. Before: the new test fails.

--- a/packages/daemon/src/gateway/keeper-lease.ts
+++ b/packages/daemon/src/gateway/keeper-lease.ts
@@ -134,11 +134,12 @@
 			return true;
 		}
 
-		const stoodDown = parseKeeper(this.#held.spec)
-			.map(({vm}) => vm === '')
+		// A former run on this VM has ended, and so has its use of the lease.
+		const isOpen = parseKeeper(this.#held.spec)
+			.map(({vm}) => vm === '' || vm === this.vm)
 			.orDefault(false);
 		const lateMs = this.patient ? slowNewsMs : 0;
-		return stoodDown || now - this.#changedAt > leaseMs + marginMs + lateMs;
+		return isOpen || now - this.#changedAt > leaseMs + marginMs + lateMs;
 	}
 
 	#distrustAfterStop(): void {
--- a/packages/daemon/test/gateway-keeper.test.ts
+++ b/packages/daemon/test/gateway-keeper.test.ts
@@ -455,3 +455,11 @@
 		t.true(someKeys.every((key) => orders.holding(key).length === 1));
 	});
 });
+
+test('a daemon that starts again takes the lease of its former run at once', async (t) => {
+	const {pass, put, daemons, orders} = fleet(['x'], ['a', 'b']);
+	put('kingcuproute-keepers/s', {vm: 'x', beat: 1});
+	await pass(2500, () => undefined);
+	t.true(daemons[0].lease.isHeld);
+	t.true(someKeys.every((key) => orders.holding(key).length === 1));
+});
