Keep parts of idempotency keys until their next holder has the records

Cause: a daemon in a planned stop gave its parts up after one hand-on without an answer; resends were refused 409 unproved until the new holder was old enough. Change: such parts stay for the next try while there is time.

--- a/packages/cli/src/kingcuproute.ts
+++ b/packages/cli/src/kingcuproute.ts
@@ -14,6 +14,13 @@
 import {type Parser} from './commands/command.js';
 import {exitCodes} from './exit-code.js';
 
+// A reader that has seen enough, as in `kingcuproute ... | head`, is no failure.
+process.stdout.on('error', (error: NodeJS.ErrnoException) => {
+	if (error.code !== 'EPIPE') {
+		throw error;
+	}
+});
+
 const parser: Parser = yargs(hideBin(process.argv))
 	.scriptName('kingcuproute')
 	.usage(
--- a/packages/daemon/src/requests/keys/key-table-task.ts
+++ b/packages/daemon/src/requests/keys/key-table-task.ts
@@ -37,6 +37,8 @@
 const settleMs: Millis = 5000;
 /** How long a daemon that stops tries to hand its parts on. */
 const handOnMs: Millis = 3000;
+/** What is left of that for giving up parts whose next holder has not answered: two calls and a write. */
+const giveUpMs: Millis = 1200;
 const retryMs: Millis = 50;
 
 @singleton()
@@ -135,7 +137,8 @@
 			}
 
 			if (!this.#writing) {
-				await this.#plan(table, scene);
+				const keeps = until - this.clock.now() > giveUpMs;
+				await this.#plan(table, scene, keeps);
 			}
 
 			await this.clock.sleep(retryMs);
@@ -195,7 +198,12 @@
 		});
 	}
 
-	async #plan(table: KeyTable, scene: KeyScene): Promise<void> {
+	/** With `keepsUnheard`, parts whose next holder does not take their records stay for now. */
+	async #plan(
+		table: KeyTable,
+		scene: KeyScene,
+		keepsUnheard = false,
+	): Promise<void> {
 		const version = this.config.view.value.versionOf('key-table', keyTableName);
 		await this.gone.list(table);
 		const planned = this.#tenure.plan(table, scene);
@@ -204,7 +212,14 @@
 		}
 
 		const handedOn = await this.#handOn(table, planned);
-		const next = withRecords(table, planned, handedOn);
+		const next = withRecords(
+			table,
+			keepsUnheard ? this.#keeping(table, planned, handedOn) : planned,
+			handedOn,
+		);
+		if (changedRows(table, next) === 0) {
+			return;
+		}
 
 		const written = await this.platform.update(
 			'key-table',
@@ -244,6 +259,22 @@
 		return handedOn;
 	}
 
+	/** `next`, but for the parts that this daemon would give up without their records. */
+	#keeping(
+		before: KeyTable,
+		next: KeyTable,
+		handedOn: ReadonlySet<number>,
+	): KeyTable {
+		const givenUp = partsGivenUp(before, next, this.self.id);
+		const kept = new Set(
+			[...givenUp.values()].flat().filter((part) => !handedOn.has(part)),
+		);
+		const rows = next.rows.map((row, part) =>
+			kept.has(part) ? before.rows[part] : row,
+		);
+		return {...next, rows};
+	}
+
 	#scene(): KeyScene {
 		const now = this.clock.now();
 		return {
--- a/packages/fakes/test/explain-log.test.ts
+++ b/packages/fakes/test/explain-log.test.ts
@@ -104,3 +104,17 @@
 	t.regex(lines[1], /attempt-failed .*end=lost/);
 	t.regex(lines[2], /request-refused .*reason=lost notRun=false/);
 });
+
+test('a reader that stops early is no failure', async (t) => {
+	const many = Array.from({length: 20_000}, () => log[1]);
+	const file = logFile(t, many);
+	const child = spawn(process.execPath, [cli, 'explain', 'q1', '--log', file]);
+	const ended = once(child, 'close');
+	child.stdout.once('data', () => {
+		child.stdout.destroy();
+	});
+	const errors = await child.stderr.toArray();
+	const [code] = (await ended) as [number];
+	t.is(errors.join(''), '');
+	t.is(code, 0);
+});
