Give up calls to a silent store soon, so that its return is noticed

Ruled out: the daemon's connection (new ones hung alike). Change: while the last call failed, a watch waits 0.5 s. Before: the new test fails.

--- a/packages/daemon/src/gateway/kind-follower.ts
+++ b/packages/daemon/src/gateway/kind-follower.ts
@@ -14,6 +14,8 @@
 
 /** Short enough to notice within a few seconds that a connection has gone silent. */
 const waitMs: Millis = 5000;
+/** While the store does not answer: a call that hangs then is given up soon, so that news come soon after its return. */
+const probeMs: Millis = 500;
 /** Between two lists of a kind that is followed slowly; spread, since all daemons do. */
 const slowMs: Millis = 5000;
 /** How soon a follower notices that it is to be quick again. */
@@ -107,7 +109,8 @@
 	}
 
 	async #watch(since: number): Promise<string | undefined> {
-		const news = await this.means.store.watch(this.kind, since, waitMs);
+		const forMs = this.#isUp === false ? probeMs : waitMs;
+		const news = await this.means.store.watch(this.kind, since, forMs);
 		return fold(
 			news,
 			(error): string | undefined => {
--- a/packages/daemon/test/kind-follower.test.ts
+++ b/packages/daemon/test/kind-follower.test.ts
@@ -19,6 +19,8 @@
 	readonly calls: string[] = [];
 	held: readonly StoredObject[] = [stored('a', 1)];
 	failing = false;
+	/** Calls are taken and not answered. */
+	silent = false;
 
 	constructor(private readonly timers: Timers) {
 		super();
@@ -37,6 +39,11 @@
 
 	override async watch(_kind: string, revision: number, waitMs: number) {
 		this.calls.push('watch');
+		if (this.silent) {
+			await this.timers.sleep(waitMs + 1000);
+			return Left<ObjectError>({kind: 'unknown', message: 'no answer'});
+		}
+
 		await this.timers.sleep(waitMs);
 		const changes = this.held
 			.filter((object) => object.revision > revision)
@@ -103,3 +110,16 @@
 	t.true(follower.lastFailureAt > 4000);
 	follower.stop();
 });
+
+test('news come within a few seconds of the return of a store that was silent', async (t) => {
+	const {clock, store, follower} = following();
+	follower.start();
+	await clock.pass(1000);
+	store.silent = true;
+	await clock.pass(14_000);
+	store.silent = false;
+	store.held = [stored('a', 2)];
+	await clock.pass(2500);
+	t.is(follower.objects.value!.get('a')!.revision, 2);
+	follower.stop();
+});
