--- a/packages/fakes/test/site-script.test.ts
+++ b/packages/fakes/test/site-script.test.ts
@@ -27,10 +27,20 @@
 slot = "trouble"
 `;
 
+const broken = `
+[[day]]
+name = "broken-1"
+slot = "quiet"
+`;
+
 /** Stands in for the bench: reports the day that it is asked for, with a broken rule on days of trouble. */
 const bench = `#!${process.execPath}
 const {writeFileSync} = require('node:fs');
 const [, , , , day, ...rest] = process.argv;
+if (day === 'broken-1') {
+	console.error('the build failed');
+	process.exit(1);
+}
 const file = rest[rest.indexOf('--report') + 1];
 const served = {n: 10, in_aim: 8, late: 1, worth: 0.9, p50_ms: 20, p99_ms: 90};
 writeFileSync(file, JSON.stringify({
@@ -42,7 +52,7 @@
 	services: [{name: 's', busiest_x: 1.5}],
 	nodes: [{role: 'r', cpu_mean: 0.1, cpu_peak: 0.2, mem_peak_mb: 60}],
 }));
-console.log('1.0 vm event=request-refused id=q reason=overloaded notRun=true');
+console.error('1.0 vm event=request-refused id=q reason=overloaded notRun=true');
 console.log(day + '   11/39   0.75  0.500  0.900');
 `;
 
@@ -98,6 +108,17 @@
 	t.regex(output, /^2 days; rules broken: OWNER$/m);
 });
 
+test('a day that the bench cannot play is said, with its last words', async (t) => {
+	const folder = kit(t);
+	const site = path.join(folder, 'sites', 'one.toml');
+	writeFileSync(site, broken);
+	const json = path.join(folder, 'site.json');
+	const {code, output, errors} = await run([site, '--json', json]);
+	t.is(code, 1);
+	t.regex(output, /^broken-1: not played$/m);
+	t.regex(errors, /the build failed/);
+});
+
 test('without the kit, or with a wrong option, it says so and ends with 2', async (t) => {
 	const missing = await run(['nowhere.toml']);
 	t.is(missing.code, 2);
--- a/scripts/site.js
+++ b/scripts/site.js
@@ -30,6 +30,8 @@
 	'usage: npm run site -- SITE.toml [--calm] [--days N] [--seed S] [--json FILE]';
 /** The bench asks for half of the processors at most. */
 const jobs = 2;
+/** What is shown of the bench's own words and our logs when a day cannot be played, in lines. */
+const saidLines = 20;
 
 function refuse(message) {
 	process.stderr.write(`${message}\n`);
@@ -80,24 +82,29 @@
 			'all',
 			...why,
 		],
-		{stdio: ['ignore', 'pipe', 'inherit']},
+		{stdio: ['ignore', 'pipe', 'pipe']},
 	);
 	const ended = once(run, 'close');
 	const refusals = {};
-	let score;
-	for await (const line of createInterface({input: run.stdout})) {
+	let said = [];
+	createInterface({input: run.stderr}).on('line', (line) => {
 		const [, reason] =
 			/event=request-refused .*\breason=([a-z-]+)/.exec(line) ?? [];
 		if (reason) {
 			refusals[reason] = (refusals[reason] ?? 0) + 1;
 		}
 
+		said = [...said.slice(-saidLines), line];
+	});
+	let score;
+	for await (const line of createInterface({input: run.stdout})) {
 		const [, shown] = /^\S+\s+\d+\/\d+\s+(\d+\.\d+)\s/.exec(line) ?? [];
 		score ??= shown === undefined ? undefined : Number(shown);
 	}
 
 	await ended;
 	if (!existsSync(file)) {
+		process.stderr.write(`${said.join('\n')}\n`);
 		return undefined;
 	}
 
