--- a/packages/core/src/balance/gauges.ts
+++ b/packages/core/src/balance/gauges.ts
@@ -8,6 +8,7 @@
 import {ColdEvidence} from './cold-evidence.js';
 import {isRamped, warmth, type Place} from './allowance.js';
 import {ended, reported, sent, unknownGauge, type Gauge} from './gauge.js';
+import {median} from './median.js';
 import {type Notice, type RampCause} from './notice.js';
 import {type Outcome} from './outcome.js';
 import {type BalancePolicy} from './policy.js';
@@ -269,8 +270,6 @@
 	}
 
 	#median(of: (gauge: Gauge) => number): number | undefined {
-		const all = [...this.#gauges.values()].map((gauge) => of(gauge));
-		all.sort((a, b) => a - b);
-		return all[Math.floor(all.length / 2)];
+		return median([...this.#gauges.values()].map((gauge) => of(gauge)));
 	}
 }
--- a/packages/core/src/gateway/key-traffic.ts
+++ b/packages/core/src/gateway/key-traffic.ts
@@ -18,7 +18,7 @@
 const windowMs: Millis = 3000;
 /** Keys that one daemon reports: more than it sees in a window on a small site, a few kB. */
 const maxKeys = 200;
-/** Requests that are remembered: several thousand a second over the window. */
+/** Requests that are remembered; beyond it the newer half goes on, several thousand a second over the window. */
 const maxAsks = 20_000;
 const secondMs: Millis = 1000;
 
--- a/packages/core/src/gateway/load-plan.ts
+++ b/packages/core/src/gateway/load-plan.ts
@@ -6,6 +6,7 @@
  * for a moment, so small differences stay.
  */
 import {type Millis} from '../time/clock.js';
+import {median} from '../balance/median.js';
 import {type ListedServer} from './listed-server.js';
 import {isHeldBy, type KeyRange, type RangeTable} from './key-range.js';
 import {type KeyMove} from './key-plan.js';
@@ -145,7 +146,3 @@
 function lenOf({from, to}: Run): number {
 	return to - from + 1;
 }
-
-function median(values: readonly number[]): number | undefined {
-	return values.toSorted((a, b) => a - b).at(Math.floor(values.length / 2));
-}
--- a/packages/core/src/gateway/server-loads.ts
+++ b/packages/core/src/gateway/server-loads.ts
@@ -7,6 +7,7 @@
  */
 import {type Random} from '../chance/random.js';
 import {type Millis} from '../time/clock.js';
+import {median} from '../balance/median.js';
 import {type ListedServer} from './listed-server.js';
 
 /** What a server said of itself: requests that it runs and that wait there. */
@@ -180,10 +181,7 @@
 		candidates: readonly ListedServer[],
 		now: Millis,
 	): (server: ListedServer) => number {
-		const times = [...this.runTimes(candidates).values()];
-		const usualMs = times
-			.sort((a, b) => a - b)
-			.at(Math.floor(times.length / 2));
+		const usualMs = median([...this.runTimes(candidates).values()]);
 		return ({backendServer}) => {
 			const {runMs, ranAt} = this.#gauge(backendServer);
 			if (runMs === undefined || usualMs === undefined) {
--- a/packages/core/test/gateway/gateway.test.ts
+++ b/packages/core/test/gateway/gateway.test.ts
@@ -13,18 +13,10 @@
 	type RangeTable,
 	type RouteRule,
 } from '../../src/index.js';
+import {aServer} from './a-server.js';
 
 function server(backendServer: string, startedAt = 1): ListedServer {
-	return {
-		backendServer,
-		startedAt,
-		service: 's',
-		address: `${backendServer}:80`,
-		failureDomain: 'a',
-		slots: 3,
-		draining: false,
-		coldMs: 0,
-	};
+	return aServer(backendServer, {startedAt});
 }
 
 function rule(pathPrefix: string, parts = [{service: 's', weight: 1}]) {
--- a/packages/core/test/gateway/key-load.test.ts
+++ b/packages/core/test/gateway/key-load.test.ts
@@ -12,18 +12,10 @@
 	type ListedServer,
 	type RangeTable,
 } from '../../src/index.js';
+import {aServer} from './a-server.js';
 
 function server(backendServer: string, coldMs = 0): ListedServer {
-	return {
-		backendServer,
-		startedAt: 1,
-		service: 's',
-		address: `${backendServer}:80`,
-		failureDomain: 'a',
-		slots: 3,
-		draining: false,
-		coldMs,
-	};
+	return aServer(backendServer, {coldMs});
 }
 
 const servers = ['s0', 's1', 's2', 's3'].map((name) => server(name));
--- a/packages/core/test/gateway/lapse-hold.test.ts
+++ b/packages/core/test/gateway/lapse-hold.test.ts
@@ -1,17 +1,10 @@
 import test from 'ava';
 import {LapseHold, type ListedServer} from '../../src/index.js';
+import {aServer} from './a-server.js';
 
 function server(index: number, draining = false): ListedServer {
-	return {
-		backendServer: `s${index}`,
-		startedAt: 1,
-		service: 's',
-		address: `10.0.0.${index}:80`,
-		failureDomain: 'a',
-		slots: 3,
-		draining,
-		coldMs: 0,
-	};
+	const address = `10.0.0.${index}:80`;
+	return aServer(`s${index}`, {address, draining});
 }
 
 const ten = Array.from({length: 10}, (_, index) => server(index));
