--- a/packages/daemon/src/gateway/key-grants.ts
+++ b/packages/daemon/src/gateway/key-grants.ts
@@ -9,7 +9,7 @@
 	type ListedServer,
 	type Millis,
 } from '@kingcuproute/core';
-import {type KeyOrders} from '@kingcuproute/platform';
+import {type KeyOrders, type OrderEnd} from '@kingcuproute/platform';
 import {type Log} from '../log/log.js';
 import {type KeeperLease} from './keeper-lease.js';
 
@@ -54,6 +54,19 @@
 
 	constructor(private readonly means: KeyGrantsMeans) {}
 
+	/** Grants under way, and servers at which one without an answer may still be carried out. */
+	get open(): {readonly underWay: number; readonly unsureServers: number} {
+		const now = this.means.clock.now();
+		const runs = [...this.#runs.values()];
+		let underWay = 0;
+		for (const {inFlight} of runs) {
+			underWay += inFlight.size;
+		}
+
+		const unsure = runs.filter(({unsureUntil}) => unsureUntil > now);
+		return {underWay, unsureServers: unsure.length};
+	}
+
 	/** Takes the holders of `ranges` to have been granted them just now, by another daemon. */
 	assumeGranted(ranges: readonly KeyRange[]): void {
 		const until = this.means.clock.now() + longestLeaseMs;
@@ -96,7 +109,10 @@
 		from: number,
 		to: number,
 	): Promise<string | undefined> {
+		const {clock, lease, log, service} = this.means;
+		const {owner: backendServer, fence} = holder;
 		const run = this.#run(holder.owner, holder.ownerStartedAt);
+		const beganAt = clock.now();
 		// These keys are not renewed any more; the server's other keys go on.
 		const overAt = run.leaseOverAt;
 		const released = await this.#release(holder, from, to, run);
@@ -104,6 +120,20 @@
 			await this.#lapse(run, overAt);
 		}
 
+		let by = lease.isHeld ? 'lapsed' : 'lease-lost';
+		if (released) {
+			by = 'released';
+		} else if (run.ended) {
+			by = 'ended';
+		}
+
+		const now = clock.now();
+		const waitedMs = Math.round(now - beganAt);
+		const leaseLeftMs = Math.round(overAt - now);
+		// How long a grant without an answer could still be carried out.
+		const unsureMs = Math.max(0, Math.round(run.unsureUntil - now));
+		const keys = {service, backendServer, from, to, fence};
+		log.info('keys-free', {...keys, by, waitedMs, leaseLeftMs, unsureMs});
 		return released?.handover;
 	}
 
@@ -144,9 +174,8 @@
 			return;
 		}
 
-		const message = end.kind === 'unknown' ? end.message : undefined;
 		const keys = {service, backendServer, from, to, fence};
-		log.warn('grant-failed', {...keys, end: end.kind, message});
+		log.warn('grant-failed', {...keys, end: end.kind, message: wordsOf(end)});
 		if (end.kind === 'unknown') {
 			run.unsureUntil = clock.now() + longestLeaseMs;
 		} else if (end.kind === 'ended') {
@@ -174,7 +203,8 @@
 		await Promise.all(run.inFlight);
 		const order = {from, to, fence};
 		const end = await orders.release(server, order, releaseTimeoutMs);
-		log.info('keys-released', {...keys, end: end.kind});
+		const message = wordsOf(end);
+		log.info('keys-released', {...keys, end: end.kind, message});
 		run.ended ||= end.kind === 'ended';
 		return end.kind === 'taken' && clock.now() >= run.unsureUntil
 			? {handover: end.handover}
@@ -198,3 +228,21 @@
 		return run;
 	}
 }
+
+/** What an order's end says beside its kind. */
+function wordsOf(end: OrderEnd): string | undefined {
+	switch (end.kind) {
+		case 'unknown': {
+			return end.message;
+		}
+
+		case 'ended': {
+			return end.evidence;
+		}
+
+		case 'taken':
+		case 'outdated': {
+			return undefined;
+		}
+	}
+}
--- a/packages/daemon/src/gateway/key-keeper.ts
+++ b/packages/daemon/src/gateway/key-keeper.ts
@@ -59,6 +59,7 @@
 	#writing = false;
 	/** Whether the table was written under the lease now held: no older write can land after that. */
 	#inForce = false;
+	#wasKeeper = false;
 	#nextLookAt: Millis = -Infinity;
 	#cancel: (() => void) | undefined;
 
@@ -98,6 +99,7 @@
 			this.#released = [];
 		}
 
+		this.#noteLoss();
 		if (!lease.isHeld || this.#writing) {
 			return;
 		}
@@ -111,6 +113,17 @@
 		}
 	}
 
+	/** Tells once that another daemon may order from here on; orders sent before may still be under way. */
+	#noteLoss(): void {
+		const {lease, log, service} = this.means;
+		const {isHeld} = lease;
+		if (this.#wasKeeper && !isHeld) {
+			log.info('keeper-lost-lease', {service, ...this.#grants.open});
+		}
+
+		this.#wasKeeper = isHeld;
+	}
+
 	/**
 	 * Makes sure of the table: writes that the former keeper has on their way fail
 	 * from here on. That keeper may have given leases until its own ended.
--- a/packages/daemon/test/gateway-keepers.ts
+++ b/packages/daemon/test/gateway-keepers.ts
@@ -173,7 +173,9 @@
 		}
 
 		const there = this.replaced.get(address) ?? backendServer;
-		return there === backendServer ? undefined : {kind: 'ended'};
+		return there === backendServer
+			? undefined
+			: {kind: 'ended', evidence: 'another-server'};
 	}
 
 	#rest(address: string, from: number, to: number): Hold[] {
--- a/packages/platform/src/key-orders.ts
+++ b/packages/platform/src/key-orders.ts
@@ -23,8 +23,11 @@
 	| {readonly kind: 'outdated'}
 	/** The server may have taken the order, or may take it later. */
 	| {readonly kind: 'unknown'; readonly message: string}
-	/** Nothing listens at the address, or another server does: the one meant has ended. */
-	| {readonly kind: 'ended'};
+	/** The one meant has ended. */
+	| {readonly kind: 'ended'; readonly evidence: EndEvidence};
+
+/** Why a server is taken to have ended: nothing listens at its address, or another server does. */
+export type EndEvidence = 'refused' | 'another-server';
 
 const okStatus = 200;
 const conflictStatus = 409;
@@ -108,7 +111,7 @@
 				}
 
 				case misdirectedStatus: {
-					return {kind: 'ended'};
+					return {kind: 'ended', evidence: 'another-server'};
 				}
 
 				case conflictStatus: {
@@ -122,7 +125,7 @@
 		} catch (error) {
 			const {code, message} = error as NodeJS.ErrnoException;
 			return code === 'ECONNREFUSED'
-				? {kind: 'ended'}
+				? {kind: 'ended', evidence: 'refused'}
 				: {kind: 'unknown', message};
 		} finally {
 			cancel();
