--- a/packages/daemon/test/gateway-keeper.test.ts
+++ b/packages/daemon/test/gateway-keeper.test.ts
@@ -199,3 +199,18 @@
 	t.true(daemons[0].lease.isHeld);
 	t.true(someKeys.every((key) => orders.holding(key).length === 1));
 });
+
+test('a grant that its server carries out after its keeper was followed makes no second holder', async (t) => {
+	const {orders, daemons, pass, list} = fleet(['x', 'y'], ['a', 'b']);
+	await pass(1500, () => undefined);
+	const first = daemons.find(({lease}) => lease.isHeld)!;
+	orders.late.set('a', 3000);
+	await pass(1400, () => undefined);
+	orders.late.clear();
+	void first.keeper.stop();
+	list(['b'], ['a']);
+	await pass(9000, () => {
+		t.true(someKeys.every((key) => orders.holding(key).length <= 1));
+	});
+	t.true(someKeys.every((key) => orders.holding(key)[0] === 'b'));
+});
--- a/packages/daemon/test/gateway-keepers.ts
+++ b/packages/daemon/test/gateway-keepers.ts
@@ -95,11 +95,19 @@
 	return {name, revision, spec, status: undefined, rest: {}};
 }
 
-type Hold = Pick<KeyRange, 'from' | 'to' | 'fence'> & {readonly until: Millis};
+type FencedKeys = Pick<KeyRange, 'from' | 'to' | 'fence'>;
 
-/** Backend servers that keep what they are granted; a silent one answers nothing and keeps its leases. */
+type Hold = FencedKeys & {readonly until: Millis};
+
+/**
+ * Backend servers that keep what they are granted and refuse a grant once they have
+ * seen a higher fence on one of its keys; a silent one answers nothing and keeps its
+ * leases.
+ */
 class HoldingServers extends KeyOrders {
 	readonly holds = new Map<string, Hold[]>();
+	/** Servers that leave grants unanswered and carry them out after this time. */
+	readonly late = new Map<string, Millis>();
 	readonly silent = new Set<string>();
 	/** Servers that take grants and do not answer them. */
 	readonly unanswered = new Set<string>();
@@ -107,6 +115,8 @@
 	readonly releaseMs = new Map<string, Millis>();
 	/** What runs at an address in place of the server of that name. */
 	readonly replaced = new Map<string, string>();
+	/** Grants taken, by address: their fences stay seen when the keys are gone. */
+	readonly #taken = new Map<string, FencedKeys[]>();
 
 	constructor(private readonly timers: Timers) {
 		super();
@@ -123,9 +133,18 @@
 		}
 
 		const {address} = server;
-		const rest = this.#rest(address, from, to);
-		const until = this.timers.now() + leaseMs;
-		this.holds.set(address, [...rest, {from, to, fence, until}]);
+		const hold = {from, to, fence, until: this.timers.now() + leaseMs};
+		const lateMs = this.late.get(address);
+		if (lateMs !== undefined) {
+			this.timers.after(lateMs, () => this.#take(address, hold));
+			await this.timers.sleep(timeoutMs);
+			return {kind: 'unknown', message: 'no answer'};
+		}
+
+		if (!this.#take(address, hold)) {
+			return {kind: 'outdated'};
+		}
+
 		if (this.unanswered.has(address)) {
 			await this.timers.sleep(timeoutMs);
 			return {kind: 'unknown', message: 'no answer'};
@@ -178,6 +197,21 @@
 			: {kind: 'ended', evidence: 'another-server'};
 	}
 
+	/** False where a higher fence was seen on one of the keys. */
+	#take(address: string, hold: Hold): boolean {
+		const {from, to, fence} = hold;
+		const taken = this.#taken.get(address) ?? [];
+		if (
+			taken.some((one) => one.from <= to && from <= one.to && one.fence > fence)
+		) {
+			return false;
+		}
+
+		this.#taken.set(address, [...taken, {from, to, fence}]);
+		this.holds.set(address, [...this.#rest(address, from, to), hold]);
+		return true;
+	}
+
 	#rest(address: string, from: number, to: number): Hold[] {
 		return (this.holds.get(address) ?? []).flatMap((hold) =>
 			to < hold.from || from > hold.to
