Do not take a refused connection for the end of a server

Cause: an order whose connection was refused ended in `ended`, which ends the run's leases at once and for good. A path that refuses (a cut, a filter, a full queue) says nothing of the server behind it.

Ruled out: that callers' requests go by the same inference: there a refused connection only says that the request was not sent, which is so.

Change: a refused connection is `unknown`, as any lost order. 421 from another server at the address is the only proof left.

--- a/packages/daemon/src/gateway/key-grants.ts
+++ b/packages/daemon/src/gateway/key-grants.ts
@@ -9,7 +9,7 @@
 	type ListedServer,
 	type Millis,
 } from '@kingcuproute/core';
-import {type KeyOrders, type OrderEnd} from '@kingcuproute/platform';
+import {type KeyOrders} from '@kingcuproute/platform';
 import {type Log} from '../log/log.js';
 import {type KeeperLease} from './keeper-lease.js';
 
@@ -175,7 +175,8 @@
 		}
 
 		const keys = {service, backendServer, from, to, fence};
-		log.warn('grant-failed', {...keys, end: end.kind, message: wordsOf(end)});
+		const message = end.kind === 'unknown' ? end.message : undefined;
+		log.warn('grant-failed', {...keys, end: end.kind, message});
 		if (end.kind === 'unknown') {
 			run.unsureUntil = clock.now() + longestLeaseMs;
 		} else if (end.kind === 'ended') {
@@ -203,7 +204,7 @@
 		await Promise.all(run.inFlight);
 		const order = {from, to, fence};
 		const end = await orders.release(server, order, releaseTimeoutMs);
-		const message = wordsOf(end);
+		const message = end.kind === 'unknown' ? end.message : undefined;
 		log.info('keys-released', {...keys, end: end.kind, message});
 		run.ended ||= end.kind === 'ended';
 		return end.kind === 'taken' && clock.now() >= run.unsureUntil
@@ -228,21 +229,3 @@
 		return run;
 	}
 }
-
-/** What an order's end says beside its kind. */
-function wordsOf(end: OrderEnd): string | undefined {
-	switch (end.kind) {
-		case 'unknown': {
-			return end.message;
-		}
-
-		case 'ended': {
-			return end.evidence;
-		}
-
-		case 'taken':
-		case 'outdated': {
-			return undefined;
-		}
-	}
-}
--- a/packages/daemon/test/gateway-keepers.ts
+++ b/packages/daemon/test/gateway-keepers.ts
@@ -192,9 +192,7 @@
 		}
 
 		const there = this.replaced.get(address) ?? backendServer;
-		return there === backendServer
-			? undefined
-			: {kind: 'ended', evidence: 'another-server'};
+		return there === backendServer ? undefined : {kind: 'ended'};
 	}
 
 	/** False where a higher fence was seen on one of the keys. */
--- a/packages/platform/src/key-orders.ts
+++ b/packages/platform/src/key-orders.ts
@@ -23,11 +23,8 @@
 	| {readonly kind: 'outdated'}
 	/** The server may have taken the order, or may take it later. */
 	| {readonly kind: 'unknown'; readonly message: string}
-	/** The one meant has ended. */
-	| {readonly kind: 'ended'; readonly evidence: EndEvidence};
-
-/** Why a server is taken to have ended: nothing listens at its address, or another server does. */
-export type EndEvidence = 'refused' | 'another-server';
+	/** Another server is at the address: the one meant has ended. */
+	| {readonly kind: 'ended'};
 
 const okStatus = 200;
 const conflictStatus = 409;
@@ -111,7 +108,7 @@
 				}
 
 				case misdirectedStatus: {
-					return {kind: 'ended', evidence: 'another-server'};
+					return {kind: 'ended'};
 				}
 
 				case conflictStatus: {
@@ -123,10 +120,8 @@
 				}
 			}
 		} catch (error) {
-			const {code, message} = error as NodeJS.ErrnoException;
-			return code === 'ECONNREFUSED'
-				? {kind: 'ended', evidence: 'refused'}
-				: {kind: 'unknown', message};
+			// A refused connection tells of the path as much as of the server.
+			return {kind: 'unknown', message: (error as Error).message};
 		} finally {
 			cancel();
 		}
