Give every range a new fence when the keeper changes

Cause: a server may leave a grant unanswered and carry it out seconds later, after it has released the same keys. A keeper knows of its own unanswered grants and waits until they are over. Its successor knew only the table: it took an answered release as final, gave the keys on, and the old grant, by the same fence, gave them back to the former holder. Class: a proof (the answer to a release) that holds only for the orders of the one who asked, used for those of another.

Ruled out for this path: two keepers at once (orders need the lease, the table a conditional write); the table's fences (they only rise).

Change: at a takeover every range gets a new fence, written before any order. GrantLedger (core) keeps the grants that one run of a server may take: a release is final where every grant without an answer has a lower fence than one that the server took for all of the keys; otherwise the keeper waits until the last lease on just these keys is over, and reckons that from the end of a call where its timer fired late. Why it works: the protocol has servers refuse a grant below a fence that they have seen, whoever sent it and whenever it arrives.

--- a/packages/core/src/gateway/key-plan.ts
+++ b/packages/core/src/gateway/key-plan.ts
@@ -65,6 +65,18 @@
 	return {...table, nextFence: fence + 1, ranges};
 }
 
+/** The same holders, each with its keys by a fence that is above all former ones. */
+export function refenced({service, nextFence, ranges}: RangeTable): RangeTable {
+	return {
+		service,
+		nextFence: nextFence + ranges.length + 1,
+		ranges: ranges.map((range, index) => ({
+			...range,
+			fence: nextFence + index,
+		})),
+	};
+}
+
 /** What is left of `range` without the keys from `from` to `to`. */
 export function without(
 	range: KeyRange,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -246,7 +246,18 @@
 	type KeyRange,
 	type RangeTable,
 } from './gateway/key-range.js';
-export {moved, planKeys, without, type KeyMove} from './gateway/key-plan.js';
+export {
+	moved,
+	planKeys,
+	refenced,
+	without,
+	type KeyMove,
+} from './gateway/key-plan.js';
+export {
+	GrantLedger,
+	type FencedKeys,
+	type SentGrant,
+} from './gateway/grant-ledger.js';
 export {
 	KeyRecorder,
 	totalTraffic,
--- a/packages/daemon/src/gateway/key-grants.ts
+++ b/packages/daemon/src/gateway/key-grants.ts
@@ -3,13 +3,15 @@
  * over at the latest, and how keys are got back before.
  */
 import {
+	GrantLedger,
 	isHeldBy,
 	type Clock,
 	type KeyRange,
 	type ListedServer,
 	type Millis,
+	type SentGrant,
 } from '@kingcuproute/core';
-import {type KeyOrders} from '@kingcuproute/platform';
+import {type KeyOrders, type OrderEnd} from '@kingcuproute/platform';
 import {type Log} from '../log/log.js';
 import {type KeeperLease} from './keeper-lease.js';
 
@@ -37,13 +39,10 @@
 
 /** What this daemon knows of the leases of one run of a server. */
 type Run = {
-	/** When no lease given to it can last any more. */
-	leaseOverAt: Millis;
+	ledger: GrantLedger;
 	renewedAt: Millis;
 	/** Nothing runs any more where it did. */
 	ended: boolean;
-	/** Until when a grant without an answer may still be taken. */
-	unsureUntil: Millis;
 	/** Grants that are not answered yet. */
 	readonly inFlight: Set<Promise<void>>;
 };
@@ -54,24 +53,27 @@
 
 	constructor(private readonly means: KeyGrantsMeans) {}
 
-	/** Grants under way, and servers at which one without an answer may still be carried out. */
-	get open(): {readonly underWay: number; readonly unsureServers: number} {
+	/** Grants under way, and all that may be carried out still. */
+	get open(): {readonly underWay: number; readonly unanswered: number} {
 		const now = this.means.clock.now();
-		const runs = [...this.#runs.values()];
 		let underWay = 0;
-		for (const {inFlight} of runs) {
+		let unanswered = 0;
+		for (const {inFlight, ledger} of this.#runs.values()) {
 			underWay += inFlight.size;
+			unanswered += ledger.open(now);
 		}
 
-		const unsure = runs.filter(({unsureUntil}) => unsureUntil > now);
-		return {underWay, unsureServers: unsure.length};
+		return {underWay, unanswered};
 	}
 
-	/** Takes the holders of `ranges` to have been granted them just now, by another daemon. */
-	assumeGranted(ranges: readonly KeyRange[]): void {
-		const until = this.means.clock.now() + longestLeaseMs;
-		for (const {owner, ownerStartedAt} of ranges) {
-			this.#run(owner, ownerStartedAt).leaseOverAt = until;
+	/** Takes the holders of `ranges` to have been sent grants of them by another daemon until now. */
+	assumeSent(ranges: readonly KeyRange[]): void {
+		const now = this.means.clock.now();
+		for (const {owner, ownerStartedAt, from, to, fence} of ranges) {
+			const run = this.#run(owner, ownerStartedAt);
+			const overAt = now + longestLeaseMs;
+			const grant = {from, to, fence, overAt, isTaken: false};
+			run.ledger = run.ledger.with(grant, now);
 		}
 	}
 
@@ -113,8 +115,10 @@
 		const {owner: backendServer, fence} = holder;
 		const run = this.#run(holder.owner, holder.ownerStartedAt);
 		const beganAt = clock.now();
+		// A grant still on its way must not be taken after the release.
+		await Promise.all(run.inFlight);
 		// These keys are not renewed any more; the server's other keys go on.
-		const overAt = run.leaseOverAt;
+		const overAt = run.ledger.overAt(from, to);
 		const released = await this.#release(holder, from, to, run);
 		if (!released) {
 			await this.#lapse(run, overAt);
@@ -130,10 +134,9 @@
 		const now = clock.now();
 		const waitedMs = Math.round(now - beganAt);
 		const leaseLeftMs = Math.round(overAt - now);
-		// How long a grant without an answer could still be carried out.
-		const unsureMs = Math.max(0, Math.round(run.unsureUntil - now));
+		const unanswered = run.ledger.open(now);
 		const keys = {service, backendServer, from, to, fence};
-		log.info('keys-free', {...keys, by, waitedMs, leaseLeftMs, unsureMs});
+		log.info('keys-free', {...keys, by, waitedMs, leaseLeftMs, unanswered});
 		return released?.handover;
 	}
 
@@ -161,7 +164,10 @@
 
 		const {backendServer, startedAt} = server;
 		const run = this.#run(backendServer, startedAt);
-		run.leaseOverAt = clock.now() + longestLeaseMs;
+		const now = clock.now();
+		const overAt = now + longestLeaseMs;
+		const sent: SentGrant = {from, to, fence, overAt, isTaken: false};
+		run.ledger = run.ledger.with(sent, now);
 		const order = {
 			from,
 			to,
@@ -170,17 +176,12 @@
 			...(handover !== undefined && {handover}),
 		};
 		const end = await orders.grant(server, order, orderTimeoutMs);
-		if (end.kind === 'taken') {
-			return;
-		}
-
-		const keys = {service, backendServer, from, to, fence};
-		const message = end.kind === 'unknown' ? end.message : undefined;
-		log.warn('grant-failed', {...keys, end: end.kind, message});
-		if (end.kind === 'unknown') {
-			run.unsureUntil = clock.now() + longestLeaseMs;
-		} else if (end.kind === 'ended') {
-			run.ended = true;
+		run.ledger = afterGrant(run.ledger, sent, end, clock.now());
+		run.ended ||= end.kind === 'ended';
+		if (end.kind !== 'taken') {
+			const keys = {service, backendServer, from, to, fence};
+			const message = end.kind === 'unknown' ? end.message : undefined;
+			log.warn('grant-failed', {...keys, end: end.kind, message});
 		}
 	}
 
@@ -200,14 +201,13 @@
 			return undefined;
 		}
 
-		// A grant still on its way must not be taken after the release.
-		await Promise.all(run.inFlight);
 		const order = {from, to, fence};
 		const end = await orders.release(server, order, releaseTimeoutMs);
 		const message = end.kind === 'unknown' ? end.message : undefined;
 		log.info('keys-released', {...keys, end: end.kind, message});
 		run.ended ||= end.kind === 'ended';
-		return end.kind === 'taken' && clock.now() >= run.unsureUntil
+		return end.kind === 'taken' &&
+			run.ledger.isReleaseFinal(from, to, clock.now())
 			? {handover: end.handover}
 			: undefined;
 	}
@@ -217,10 +217,9 @@
 		let run = this.#runs.get(name);
 		if (!run) {
 			run = {
-				leaseOverAt: -Infinity,
+				ledger: GrantLedger.empty,
 				renewedAt: -Infinity,
 				ended: false,
-				unsureUntil: -Infinity,
 				inFlight: new Set(),
 			};
 			this.#runs.set(name, run);
@@ -229,3 +228,27 @@
 		return run;
 	}
 }
+
+/** The ledger once the end of `sent` is known. */
+function afterGrant(
+	ledger: GrantLedger,
+	sent: SentGrant,
+	end: OrderEnd,
+	now: Millis,
+): GrantLedger {
+	const others = ledger.without(sent);
+	switch (end.kind) {
+		case 'outdated':
+		case 'ended': {
+			return others;
+		}
+
+		case 'taken':
+		case 'unknown': {
+			// It arrived before now, if it did; a timer that fired late does not shorten that.
+			const overAt = Math.max(sent.overAt, now + keyLeaseMs * slowClock);
+			const isTaken = end.kind === 'taken';
+			return others.with({...sent, overAt, isTaken}, now);
+		}
+	}
+}
--- a/packages/daemon/src/gateway/key-keeper.ts
+++ b/packages/daemon/src/gateway/key-keeper.ts
@@ -8,6 +8,7 @@
 	moved,
 	planKeys,
 	planLoad,
+	refenced,
 	isHeldBy,
 	without,
 	type KeyMove,
@@ -126,17 +127,20 @@
 
 	/**
 	 * Makes sure of the table: writes that the former keeper has on their way fail
-	 * from here on. That keeper may have given leases until its own ended.
+	 * from here on. That keeper may have given leases until its own ended, and servers
+	 * may carry its grants out later still. They refuse those once they have taken a
+	 * higher fence, so each range gets one.
 	 */
 	async #takeOver(): Promise<void> {
 		const {log, service} = this.means;
-		const table = {...this.#table, nextFence: this.#table.nextFence + 1};
+		const {ranges} = this.#table;
+		const table = refenced(this.#table);
 		if (!(await this.#put(table))) {
 			return;
 		}
 
 		this.#inForce = true;
-		this.#grants.assumeGranted(table.ranges);
+		this.#grants.assumeSent(ranges);
 		log.info('keeper-took-over', {
 			service,
 			ranges: table.ranges.length,
