Plan no keys for a server that is known to have ended

Cause: orders end a run for the keeper once another server answers at its address, but the plan went by the list alone.

Change: the plan leaves those runs out, so that their keys go on at once.

Test: gateway-keeper.test.ts, "keys of a server that has ended go on while its entry still stands", failed before, passes now; 16 passed.

--- a/packages/daemon/src/gateway/key-grants.ts
+++ b/packages/daemon/src/gateway/key-grants.ts
@@ -77,6 +77,11 @@
 		}
 	}
 
+	/** Whether this run of the server is known to be over. */
+	hasEnded({backendServer, startedAt}: ListedServer): boolean {
+		return this.#run(backendServer, startedAt).ended;
+	}
+
 	/** Renews what a server holds, when that is due. */
 	renew(server: ListedServer, ranges: readonly KeyRange[]): void {
 		const now = this.means.clock.now();
--- a/packages/daemon/src/gateway/key-keeper.ts
+++ b/packages/daemon/src/gateway/key-keeper.ts
@@ -205,7 +205,10 @@
 			table = moved(table, move);
 		}
 
-		const servers = this.means.servers();
+		// The entry of a run that has ended stays listed for some seconds.
+		const servers = this.means
+			.servers()
+			.filter((server) => !this.#grants.hasEnded(server));
 		const needed = planKeys(table, servers);
 		const moves = needed.length > 0 ? needed : this.#evenOut(table, servers);
 		for (const move of moves) {
--- a/packages/daemon/test/gateway-keeper.test.ts
+++ b/packages/daemon/test/gateway-keeper.test.ts
@@ -214,3 +214,14 @@
 	});
 	t.true(someKeys.every((key) => orders.holding(key)[0] === 'b'));
 });
+
+test('keys of a server that has ended go on while its entry still stands', async (t) => {
+	const {orders, pass} = fleet(['x'], ['a', 'b']);
+	await pass(1500, () => undefined);
+	orders.holds.set('a', []);
+	orders.replaced.set('a', 'd');
+	await pass(3000, () => {
+		t.deepEqual(orders.holds.get('a'), []);
+	});
+	t.true(someKeys.every((key) => orders.holding(key)[0] === 'b'));
+});
