Put off moves by load while their holder may still carry a grant out

Cause: a move begins with the release, and keys whose release proves nothing wait until every lease on them is over, renewed by nobody. For keys of a server that is gone or leaves that has to be; a move that only evens the load out or gives a new server its part can wait instead.

Change: the keeper leaves such moves out of its plan until no grant without an answer can still be carried out; the keys go on at their holder meanwhile.

Test: gateway-keeper.test.ts, "busy keys go on within a second though their holder may still carry a grant out", failed before, passes now; 17 passed.

--- a/packages/daemon/src/gateway/key-grants.ts
+++ b/packages/daemon/src/gateway/key-grants.ts
@@ -82,6 +82,12 @@
 		return this.#run(backendServer, startedAt).ended;
 	}
 
+	/** Whether the holder's keys from `from` to `to` can be free as soon as it has released them. */
+	isSettled(holder: KeyRange, from: number, to: number): boolean {
+		const {ledger} = this.#run(holder.owner, holder.ownerStartedAt);
+		return ledger.isReleaseFinal(from, to, this.means.clock.now());
+	}
+
 	/** Renews what a server holds, when that is due. */
 	renew(server: ListedServer, ranges: readonly KeyRange[]): void {
 		const now = this.means.clock.now();
--- a/packages/daemon/src/gateway/key-keeper.ts
+++ b/packages/daemon/src/gateway/key-keeper.ts
@@ -209,7 +209,7 @@
 		const servers = this.means
 			.servers()
 			.filter((server) => !this.#grants.hasEnded(server));
-		const needed = planKeys(table, servers);
+		const needed = this.#due(planKeys(table, servers), servers);
 		const moves = needed.length > 0 ? needed : this.#evenOut(table, servers);
 		for (const move of moves) {
 			if (!pending.some((other) => overlaps(move, other))) {
@@ -230,7 +230,7 @@
 		}
 
 		const seen = traffic();
-		const moves = planLoad(table, servers, seen);
+		const moves = this.#due(planLoad(table, servers, seen), servers);
 		this.#nextLookAt = now + (moves.length > 0 ? settleMs : lookMs);
 		if (moves.length > 0) {
 			const count = moves.length;
@@ -240,6 +240,22 @@
 		return moves;
 	}
 
+	/**
+	 * Puts off moves that are not urgent while their holder may still carry out a grant:
+	 * nobody would serve their keys until every lease on them is over.
+	 */
+	#due(
+		moves: readonly KeyMove[],
+		servers: readonly ListedServer[],
+	): readonly KeyMove[] {
+		return moves.filter(
+			({holder, from, to}) =>
+				!holder ||
+				!servers.some((server) => isHeldBy(holder, server)) ||
+				this.#grants.isSettled(holder, from, to),
+		);
+	}
+
 	/** Gets the move's keys free of their holder; a move planned under a former lease is dropped. */
 	async #free(move: KeyMove): Promise<void> {
 		const {from, to, holder} = move;
--- a/packages/daemon/test/gateway-keeper.test.ts
+++ b/packages/daemon/test/gateway-keeper.test.ts
@@ -225,3 +225,32 @@
 	});
 	t.true(someKeys.every((key) => orders.holding(key)[0] === 'b'));
 });
+
+test('busy keys go on within a second though their holder may still carry a grant out', async (t) => {
+	const {orders, pass, see, timers} = fleet(['x'], ['a', 'b']);
+	await pass(1500, () => undefined);
+	const names = ['a', 'b'];
+	orders.late.set('a', 3000);
+	orders.late.set('b', 3000);
+	await pass(1400, () => undefined);
+	orders.late.clear();
+	see({
+		rates: new Map(someKeys.map((key) => [key, 2])),
+		runMs: new Map(names.map((name) => [name, name === 'a' ? 600 : 100])),
+	});
+	const before = someKeys.map((key) => orders.holding(key)[0]);
+	const heldAt = new Map<number, number>();
+	await pass(9000, () => {
+		const now = timers.now();
+		for (const key of someKeys) {
+			const holders = orders.holding(key);
+			t.true(holders.length <= 1);
+			t.true(now - (heldAt.get(key) ?? now) <= 1000);
+			heldAt.set(key, holders.length === 1 ? now : (heldAt.get(key) ?? now));
+		}
+	});
+	t.notDeepEqual(
+		someKeys.map((key) => orders.holding(key)[0]),
+		before,
+	);
+});
