Count retries by service

And each daemon had one budget for all services, so that what sound services earned was spent on the one in trouble, while the limit holds for each service.

Ruled out: the burst, which is a daemon's part of half of the fleet's slack.

Change: a budget for each service, with the same share and burst.

Left as it is: a holder that declined may be asked again after 250 ms though nothing new was heard of the key. A grant may be on its way, and the budget bounds what that costs.

--- a/packages/daemon/src/gateway/exchange-means.ts
+++ b/packages/daemon/src/gateway/exchange-means.ts
@@ -1,8 +1,8 @@
 /** What every request of the daemon shares. */
 import {type Clock, type Random} from '@kingcuproute/core';
 import {type Log} from '../log/log.js';
-import {type Budget} from '../requests/budget.js';
 import {type ServerConnections} from '../requests/server-connections.js';
+import {type ServiceBudgets} from '../requests/service-budgets.js';
 import {type ServerPicks} from './server-picks.js';
 import {type TrafficTask} from './traffic-task.js';
 import {type ViewTask} from './view-task.js';
@@ -12,7 +12,7 @@
 	readonly picks: ServerPicks;
 	readonly traffic: TrafficTask;
 	readonly connections: ServerConnections;
-	readonly budget: Budget;
+	readonly budgets: ServiceBudgets;
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly log: Log;
--- a/packages/daemon/src/gateway/gateway-entry-task.ts
+++ b/packages/daemon/src/gateway/gateway-entry-task.ts
@@ -10,9 +10,9 @@
 import {type Address, type Deployment} from '@kingcuproute/platform';
 import {inject, singleton} from 'tsyringe';
 import {Log} from '../log/log.js';
-import {Budget} from '../requests/budget.js';
 import {entryServer} from '../requests/entry-server.js';
 import {ServerConnections} from '../requests/server-connections.js';
+import {ServiceBudgets} from '../requests/service-budgets.js';
 import {Task} from '../task/task.js';
 import {type ExchangeMeans} from './exchange-means.js';
 import {GatewayExchange} from './gateway-exchange.js';
@@ -62,7 +62,7 @@
 		const {retryShare, retrySlack} = deployment.bounds;
 		const burstOf = (daemons: number) =>
 			Math.max(1, Math.floor((retrySlack * retryPart) / daemons));
-		const budget = new Budget({
+		const budgets = new ServiceBudgets({
 			share: retryShare * retryPart,
 			burst: burstOf(1),
 		});
@@ -72,7 +72,7 @@
 			picks,
 			traffic,
 			connections,
-			budget,
+			budgets,
 			clock,
 			random,
 			log,
@@ -90,7 +90,7 @@
 			res.end();
 		});
 		view.view.subscribe(({routes, servers = [], daemons}) => {
-			budget.limit(burstOf(daemons));
+			budgets.limit(burstOf(daemons));
 			connections.keep(new Set(servers.map(({address}) => address)));
 			if (routes) {
 				const {idleMs, headerMs} = routes.config.limits;
--- a/packages/daemon/src/gateway/gateway-exchange.ts
+++ b/packages/daemon/src/gateway/gateway-exchange.ts
@@ -146,8 +146,9 @@
 	}
 
 	async #send(asked: Asked): Promise<RequestEnd | undefined> {
-		const {picks, clock, budget, traffic} = this.means;
+		const {picks, clock, budgets, traffic} = this.means;
 		const {service, key} = asked;
+		const budget = budgets.of(service.service);
 		if (service.keyed && key !== undefined) {
 			traffic.of(service.service).asked(key, clock.now());
 		}
@@ -214,15 +215,15 @@
 
 	/** Whether the request is sent once more, to `next`; the holder of its key may have it again. */
 	#mayGoOn(
-		{rule, until, body}: Asked,
+		{rule, service, until, body}: Asked,
 		next: string,
 		tried: readonly string[],
 	): boolean {
-		const {budget, clock} = this.means;
+		const {budgets, clock} = this.means;
 		const servers = new Set([...tried, next]).size;
 		return (
 			servers <= rule.maxAttempts &&
-			budget.hasOne &&
+			budgets.of(service.service).hasOne &&
 			until - clock.now() > minSendMs &&
 			body.replayable
 		);
