Send no request over a connection on which its id was declined

What callers would see: 503, not run, for a request that its server is running (REFUSED), or a request that may not be repeated run more than once (TWICE).

Cause: an answer is believed by its request id. A declined request goes to the same server again (the holder of its key; in the older entry point any server that is the only one), with the same id and often over the same connection. A refusal that the server then writes once more passes for the answer. The same where a caller uses an id for two requests.

Evidence, before the change: - gateway-refusals.test.ts, "... at the next request is not believed of a request that its holder runs": ran ['q/hold/x', 'q/hold/x'], expected one. - the same, "... of a request with the same id": 503, expected 200, where the repeat came while the next request ran. - requests-answers.test.ts, "a refusal that is written once more is not believed of a booking that the server runs": 4 and 5 runs, expected 1.

Ruled out by tests that passed before: a repeat in one packet with the refusal, or while the connection is idle (undici closes it and the next request gets another); a repeat at a request with another id (502, not a refusal). Read, not played: a server that answers before the request is written whole has its connection closed after that answer, and an attempt that was lost or cancelled aborts its own, so a kept connection can only have refusals that an attempt saw.

Weighed: closing after each refusal (a new connection for each, at servers that are full and reset new ones, so that refusals become losses); single-use clients for repeats (beyond the daemon's share of the server's connections, without bound where many wait for a holder); taking the second refusal as unknown (502 for every holder that declines twice).

--- a/packages/daemon/src/gateway/sending.ts
+++ b/packages/daemon/src/gateway/sending.ts
@@ -105,6 +105,7 @@
 		const {connections, clock} = this.means;
 		return new Attempt(
 			{
+				id: this.plan.id,
 				method: this.req.method ?? 'GET',
 				path: this.req.url ?? '/',
 				headers: [
--- a/packages/daemon/src/requests/attempt.ts
+++ b/packages/daemon/src/requests/attempt.ts
@@ -18,9 +18,15 @@
 } from '@kingcuproute/core';
 import {type Dispatcher} from 'undici';
 import {type BodySource} from './request-body.js';
+import {
+	type IdentifiedRequest,
+	type ServerConnection,
+} from './server-connection.js';
 
 /** What is sent, and within which bounds. */
 export type AttemptPlan = {
+	/** Which its answer bears. */
+	readonly id: string;
 	readonly method: string;
 	readonly path: string;
 	/** Name, value, name, value. */
@@ -50,6 +56,7 @@
 	#settle!: (end: AttemptEnd) => void;
 	#over = false;
 	#controller: Dispatcher.DispatchController | undefined;
+	#connection: ServerConnection | undefined;
 	readonly #cancelTimer: Cancel;
 	#status = 0;
 	#headers: string[] = [];
@@ -72,19 +79,21 @@
 
 	/** Hands the request to `dispatcher`. */
 	send(dispatcher: Dispatcher): void {
-		const {method, path, headers, body, idleMs} = this.plan;
+		const {id, method, path, headers, body, idleMs} = this.plan;
 		this.#handedAt = this.clock.now();
-		dispatcher.dispatch(
-			{
-				method,
-				path,
-				headers: [...headers],
-				body: body as Dispatcher.DispatchOptions['body'],
-				headersTimeout: 0,
-				bodyTimeout: idleMs,
+		const request: IdentifiedRequest = {
+			id,
+			takenBy: (connection) => {
+				this.#connection = connection;
 			},
-			this,
-		);
+			method,
+			path,
+			headers: [...headers],
+			body: body as Dispatcher.DispatchOptions['body'],
+			headersTimeout: 0,
+			bodyTimeout: idleMs,
+		};
+		dispatcher.dispatch(request, this);
 	}
 
 	/** Gives up because nobody waits for the answer; the server sees its connection close. */
@@ -122,6 +131,7 @@
 
 			case 'declined': {
 				const {retryAfterMs} = judgement;
+				this.#connection?.declined(this.plan.id);
 				const message = `the server declined with status ${status}`;
 				this.#end({
 					kind: 'declined',
--- a/packages/daemon/src/requests/server-attempt.ts
+++ b/packages/daemon/src/requests/server-attempt.ts
@@ -77,6 +77,7 @@
 		const method = req.method ?? 'GET';
 		return new Attempt(
 			{
+				id,
 				method,
 				path: req.url ?? '/',
 				headers: this.#headers(),
--- a/packages/daemon/src/requests/server-connections.ts
+++ b/packages/daemon/src/requests/server-connections.ts
@@ -7,6 +7,7 @@
 import {type Clock, type Millis} from '@kingcuproute/core';
 import {buildConnector, Pool, type Dispatcher} from 'undici';
 import {type Settings} from '../settings/settings.js';
+import {ServerConnection} from './server-connection.js';
 
 /** Connections to one address are not replaced again within this time. */
 const minRetireMs: Millis = 200;
@@ -90,6 +91,7 @@
 
 	#open(address: string, connections: number): Pool {
 		const {connectMs, serverIdleMs, maxHeaderLen} = this.settings;
+		const connector = this.#connector(connectMs);
 		return new Pool(`http://${address}`, {
 			connections,
 			pipelining: 1,
@@ -97,7 +99,8 @@
 			keepAliveMaxTimeout: serverIdleMs,
 			keepAliveTimeoutThreshold: closeThresholdMs,
 			maxHeaderSize: maxHeaderLen,
-			connect: this.#connector(connectMs),
+			factory: (origin, options) =>
+				ServerConnection.to(origin, options, connector),
 		});
 	}
 
--- a/packages/daemon/test/server-connections.test.ts
+++ b/packages/daemon/test/server-connections.test.ts
@@ -2,6 +2,10 @@
 import {createServer, type AddressInfo, type Socket} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
 import {SystemClock} from '@kingcuproute/platform';
+import {
+	type IdentifiedRequest,
+	type ServerConnection,
+} from '../src/requests/server-connection.js';
 import {ServerConnections} from '../src/requests/server-connections.js';
 
 const bounds = {
@@ -12,6 +16,13 @@
 };
 const unframed = 'HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf of it';
 
+function requestOf(
+	id: string,
+	takenBy: (connection: ServerConnection) => void = () => undefined,
+): IdentifiedRequest {
+	return {id, takenBy, method: 'GET', path: `/${id}`};
+}
+
 type Ending = {
 	/** Ends the connection as soon as the server has written its answer. */
 	readonly written?: (socket: Socket) => void;
@@ -42,26 +53,23 @@
 	const {port} = server.address() as AddressInfo;
 	const dispatcher = connections.to(`127.0.0.1:${port}`, 1);
 	return new Promise((resolve) => {
-		dispatcher.dispatch(
-			{method: 'GET', path: '/'},
-			{
-				onRequestStart() {
-					// Nothing to do: the request is let run.
-				},
-				onResponseStart() {
-					// The head does not matter here.
-				},
-				onResponseData() {
-					received?.(accepted!);
-				},
-				onResponseEnd() {
-					resolve(connections.endsReset ? 'reset' : 'whole');
-				},
-				onResponseError() {
-					resolve('reset');
-				},
+		dispatcher.dispatch(requestOf('a'), {
+			onRequestStart() {
+				// Nothing to do: the request is let run.
 			},
-		);
+			onResponseStart() {
+				// The head does not matter here.
+			},
+			onResponseData() {
+				received?.(accepted!);
+			},
+			onResponseEnd() {
+				resolve(connections.endsReset ? 'reset' : 'whole');
+			},
+			onResponseError() {
+				resolve('reset');
+			},
+		});
 	});
 }
 
@@ -85,3 +93,52 @@
 test('a reset that arrives together with the answer is seen', async (t) => {
 	t.is(await reported(t, {written: reset}), 'reset');
 });
+
+test('a request whose id was declined on a connection goes over another one, and all others go over the kept one', async (t) => {
+	const carried: string[] = [];
+	let opened = 0;
+	const server = createServer((socket) => {
+		const number = ++opened;
+		socket.on('error', () => undefined);
+		socket.on('data', (bytes) => {
+			carried.push(`${String(bytes).slice(5, 6)}${number}`);
+			socket.write('HTTP/1.1 503 Full\r\ncontent-length: 0\r\n\r\n');
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const connections = new ServerConnections(bounds, new SystemClock());
+	t.teardown(async () => {
+		await connections.close();
+		server.close();
+	});
+	const {port} = server.address() as AddressInfo;
+	const dispatcher = connections.to(`127.0.0.1:${port}`, 1);
+	const decline = async (id: string): Promise<void> =>
+		new Promise((resolve, reject) => {
+			let carrier: ServerConnection | undefined;
+			const takenBy = (connection: ServerConnection) => {
+				carrier = connection;
+			};
+
+			dispatcher.dispatch(requestOf(id, takenBy), {
+				onRequestStart() {
+					// Nothing to do: the request is let run.
+				},
+				onResponseStart() {
+					carrier!.declined(id);
+				},
+				onResponseEnd() {
+					resolve();
+				},
+				onResponseError(_controller, error) {
+					reject(error);
+				},
+			});
+		});
+	for (const id of ['a', 'b', 'a', 'b', 'c', 'a', 'a']) {
+		await decline(id);
+	}
+
+	t.deepEqual(carried, ['a1', 'b1', 'a2', 'b2', 'c2', 'a3', 'a4']);
+});
--- a/packages/fakes/src/server/fake-backend-server.ts
+++ b/packages/fakes/src/server/fake-backend-server.ts
@@ -15,7 +15,7 @@
 import {orderSchema} from '@kingcuproute/core';
 import {Listener} from '../listener.js';
 import {sendJson} from '../send-json.js';
-import {answerWith} from './faulty-answer.js';
+import {answerWith, rawRefusal} from './faulty-answer.js';
 import {Grants} from './grants.js';
 import {
 	noServerFaults,
@@ -40,6 +40,8 @@
 	#faults = noServerFaults;
 	readonly #sockets = new Set<Socket>();
 	readonly #silent = new WeakSet<Socket>();
+	/** Where requests were last declined as not run, by id. */
+	readonly #declinedOn = new Map<string, Socket>();
 	readonly #listener = new Listener(
 		(req, res) => {
 			if (!this.#silent.has(req.socket)) {
@@ -161,10 +163,16 @@
 
 		if (this.#isFull()) {
 			this.work.decline(req);
+			this.#declinedOn.set(id, req.socket);
 			decline(res, 503, `${this.#faults.state} and shedding load`);
 			return;
 		}
 
+		const declinedOn = this.#declinedOn.get(id);
+		if (this.#faults.repeatRefusal && declinedOn?.writable) {
+			declinedOn.write(rawRefusal(id));
+		}
+
 		const notBegun = await this.work.begin(req, res);
 		if (notBegun) {
 			decline(res, 504, notBegun);
--- a/packages/fakes/src/server/faulty-answer.ts
+++ b/packages/fakes/src/server/faulty-answer.ts
@@ -57,6 +57,17 @@
 	}
 }
 
+/** The refusal of a request that did not run, as it is on the connection. */
+export function rawRefusal(id: string): string {
+	return [
+		'HTTP/1.1 503 Service Unavailable',
+		`x-kingcup-request-id: ${id}`,
+		'x-kingcup-ran: not-run',
+		'content-length: 0',
+		'\r\n',
+	].join('\r\n');
+}
+
 function partsOf(len: number): Readable {
 	const part = new Uint8Array(partLen);
 	return Readable.from(
--- a/packages/fakes/src/server/server-faults.ts
+++ b/packages/fakes/src/server/server-faults.ts
@@ -33,6 +33,8 @@
 	coldSlots: z.number().int().min(0),
 	/** Declines every request, as not run. */
 	shed: z.boolean(),
+	/** Writes a refusal once more as soon as the request that it answered comes again. */
+	repeatRefusal: z.boolean(),
 });
 
 /** The stand-in's present faults. */
@@ -47,4 +49,5 @@
 	state: 'ready',
 	coldSlots: 1,
 	shed: false,
+	repeatRefusal: false,
 };
--- /dev/null
+++ b/packages/fakes/test/gateway-refusals.test.ts
@@ -0,0 +1,115 @@
+/** What callers hear when a faulty server writes an earlier refusal once more. */
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Socket} from 'node:net';
+import test from 'ava';
+import {answer, site, type Act} from './gateway-site.js';
+import {pause, until} from './requests-fixture.js';
+
+/** Time enough for a refusal to be taken for the answer of a request that runs. */
+const runMs = 100;
+const refusalStatus = 503;
+
+/** When the refusal is written again, on the connection on which it was the answer. */
+type Moment = 'with the refusal' | 'while idle' | 'at the next request';
+
+function refusalFields(id: string): Readonly<Record<string, string>> {
+	return {
+		'x-kingcuproute-request-id': id,
+		'x-kingcuproute-not-executed': '1',
+		'content-length': '0',
+	};
+}
+
+function idOf(req: IncomingMessage): string {
+	return String(req.headers['x-kingcuproute-request-id']);
+}
+
+/** Declines its first request, runs all others, and writes the refusal once more. */
+class Repeater {
+	/** Requests that ran, by id. */
+	readonly ran: string[] = [];
+	#repeat: (() => void) | undefined;
+
+	constructor(private readonly moment: Moment) {}
+
+	readonly act: Act = (req, res, body) => {
+		if (!this.#repeat) {
+			this.#decline(req.socket, res, idOf(req));
+			return;
+		}
+
+		this.ran.push(idOf(req));
+		if (this.moment === 'at the next request') {
+			this.#repeat();
+		}
+
+		setTimeout(() => {
+			answer(req, res, body);
+		}, runMs);
+	};
+
+	#decline(socket: Socket, res: ServerResponse, id: string): void {
+		const fields = refusalFields(id);
+		this.#repeat = () => {
+			const lines = Object.entries(fields).map((field) => field.join(': '));
+			socket.write(
+				[`HTTP/1.1 ${refusalStatus} Full`, ...lines, '\r\n'].join('\r\n'),
+			);
+		};
+
+		socket.cork();
+		res.writeHead(refusalStatus, fields);
+		res.end();
+		if (this.moment === 'with the refusal') {
+			this.#repeat();
+		}
+
+		socket.uncork();
+		if (this.moment === 'while idle') {
+			setTimeout(this.#repeat, runMs);
+		}
+	}
+}
+
+for (const moment of [
+	'with the refusal',
+	'while idle',
+	'at the next request',
+] as const) {
+	test(`a refusal that is written once more ${moment} is not believed of a request that its holder runs`, async (t) => {
+		const made = site(t);
+		const holder = new Repeater(moment);
+		await made.add('i-1', 'keyed', holder.act);
+		await made.start();
+		let status = 0;
+		await until(async () => {
+			const key = {'x-kingcuproute-shard-key': '7'};
+			status = await made.status('/hold/x', key, 'b');
+			return holder.ran.length > 0;
+		});
+		t.is(status, 200);
+		t.deepEqual(holder.ran, ['q/hold/x']);
+	});
+
+	test(`a refusal that is written once more ${moment} is not believed of a request with the same id`, async (t) => {
+		const made = site(t);
+		const server = new Repeater(moment);
+		await made.add('i-1', 'plain', server.act);
+		await made.start();
+		t.is(await made.status('/book/x', {}, 'b'), refusalStatus);
+		await pause(moment === 'while idle' ? 2 * runMs : 0);
+		t.is(await made.status('/book/x', {}, 'b'), 200);
+		t.deepEqual(server.ran, ['q/book/x']);
+	});
+}
+
+test('a refusal that is written once more is not believed of another request', async (t) => {
+	const made = site(t);
+	const server = new Repeater('at the next request');
+	await made.add('i-1', 'plain', server.act);
+	await made.start();
+	t.is(await made.status('/book/x', {}, 'b'), refusalStatus);
+	t.is(await made.status('/book/y', {}, 'b'), 502);
+	t.is(await made.status('/book/z', {}, 'b'), 200);
+	t.deepEqual(server.ran, ['q/book/y', 'q/book/z']);
+});
--- a/packages/fakes/test/gateway-site.ts
+++ b/packages/fakes/test/gateway-site.ts
@@ -41,6 +41,7 @@
 		['r1', 'shop.example', '/read/', 'safe', 30_000, 600, 2, 2, 'plain'],
 		['r2', 'shop.example', '/book/', 'unsafe', 30_000, 600, 1, 2, 'plain'],
 		['r3', 'shop.example', '/clock/', 'safe', 30_000, 600, 1, 2, 'keyed'],
+		['r4', 'shop.example', '/hold/', 'unsafe', 30_000, 600, 1, 2, 'keyed'],
 	],
 };
 const services = {
--- a/packages/fakes/test/requests-answers.test.ts
+++ b/packages/fakes/test/requests-answers.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import {request} from 'undici';
-import {runsOf, send, spoil, stage} from './requests-fixture.js';
+import {runs, runsOf, send, spoil, stage, until} from './requests-fixture.js';
 
 for (const answer of [
 	'truncated',
@@ -67,3 +67,17 @@
 	t.is(next.body.bytes, 4);
 	t.is(await runsOf(servers, '/kaha/late'), 1);
 });
+
+test('a refusal that is written once more is not believed of a booking that the server runs', async (t) => {
+	const {servers, entry} = await stage(t);
+	await spoil(servers[0], {shed: true});
+	const sent = send(entry, 'POST', '/kaha/again', {body: 'ten'});
+	await until(async () => {
+		const declined = await runs(servers[0], 'declined');
+		return declined.some(({path}) => path === '/kaha/again');
+	});
+	await spoil(servers[0], {shed: false, repeatRefusal: true, workMs: 300});
+	const {status} = await sent;
+	t.is(status, 200);
+	t.is(await runsOf(servers, '/kaha/again'), 1);
+});
