Check objects of any depth, so that none of them ends a daemon

Callers lost their connections (ECONNRESET, then ECONNREFUSED): one object in the store whose checked field, or whole spec, is nested some thousand levels deep ended every daemon that read it, and again at each start.

Cause: a fault shows the value that was found by JSON.stringify, which overflows the stack; the error left the follower's loop as an unhandled rejection. The same throw came from zod where a list had more faulty items than a call takes arguments.

Change: checked() shows a bounded part of a value, keeps 100 faults, and turns a throw of the checker into a fault. The stand-in store keeps objects as text, as another writer may leave anything.

--- a/packages/core/src/config/fault.ts
+++ b/packages/core/src/config/fault.ts
@@ -1,5 +1,5 @@
 /** What is wrong with a JSON document, in words that name the path, what was found and what is allowed. */
-import {Left, Right, type Either} from 'purify-ts';
+import {Either, Left, Right} from 'purify-ts';
 import {z} from 'zod';
 
 /** One thing wrong with a document. */
@@ -16,12 +16,34 @@
 /** What came of checking a document. */
 export type Checked<T> = Either<readonly Fault[], T>;
 
-/** The value of a document already read as JSON, or every fault in it. */
+/** Faults of one document: more would help nobody. */
+const maxFaults = 100;
+/** Of a value that a fault shows. */
+const maxShownLen = 200;
+const maxShownItems = 10;
+const maxShownDepth = 3;
+
+/**
+ * The value of a document already read as JSON, or the faults in it. Whatever the
+ * document holds, and however deep, nothing is thrown.
+ */
 export function checked<T>(schema: z.ZodType<T>, json: unknown): Checked<T> {
-	const parsed = schema.safeParse(json, {reportInput: true});
-	return parsed.success
-		? Right(parsed.data)
-		: Left(parsed.error.issues.flatMap((issue) => faultsOf(issue, schema)));
+	return Either.encase(() => schema.safeParse(json, {reportInput: true}))
+		.mapLeft(({message}): readonly Fault[] => [
+			{path: pathOf([]), message: `cannot be checked: ${message}`},
+		])
+		.chain((parsed) =>
+			parsed.success
+				? Right(parsed.data)
+				: Left(faultsIn(parsed.error.issues, schema)),
+		);
+}
+
+function faultsIn(issues: readonly Issue[], schema: z.ZodType) {
+	return issues
+		.slice(0, maxFaults)
+		.flatMap((issue) => faultsOf(issue, schema))
+		.slice(0, maxFaults);
 }
 
 /** One fault for each unknown key, else one for the issue. */
@@ -41,9 +63,7 @@
 	}
 
 	const allowed = Object.keys(shape?.properties ?? {}).join(', ');
-	const found = JSON.stringify(
-		(input as Readonly<Record<string, unknown>>)[key],
-	);
+	const found = shown((input as Readonly<Record<string, unknown>>)[key]);
 	return {
 		path: pathOf([...path, key]),
 		message: `unknown key, allowed: ${allowed}, found ${found}`,
@@ -53,7 +73,7 @@
 function messageOf(issue: Issue): string {
 	const {message, input} = issue;
 	if (input !== undefined) {
-		return `${message}, found ${JSON.stringify(input)}`;
+		return `${message}, found ${shown(input)}`;
 	}
 
 	return issue.code === 'invalid_type'
@@ -64,3 +84,31 @@
 function pathOf(path: Issue['path']): string {
 	return path.join('.') || '(root)';
 }
+
+/** The value as JSON, without what is long or deep in it. */
+function shown(value: unknown): string {
+	const text = JSON.stringify(pruned(value, maxShownDepth));
+	return text.length > maxShownLen ? `${text.slice(0, maxShownLen)}…` : text;
+}
+
+function pruned(value: unknown, depth: number): unknown {
+	if (typeof value === 'string') {
+		return value.slice(0, maxShownLen + 1);
+	}
+
+	if (typeof value !== 'object' || value === null) {
+		return value;
+	}
+
+	if (depth === 0) {
+		return '…';
+	}
+
+	return Array.isArray(value)
+		? value.slice(0, maxShownItems).map((item) => pruned(item, depth - 1))
+		: Object.fromEntries(
+				Object.entries(value)
+					.slice(0, maxShownItems)
+					.map(([key, item]) => [key, pruned(item, depth - 1)]),
+			);
+}
--- /dev/null
+++ b/packages/core/test/fault.test.ts
@@ -0,0 +1,48 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {z} from 'zod';
+import {checked} from '../src/index.js';
+
+/** A fault is a part of a log line. */
+const maxMessageLen = 400;
+
+const document = z.strictObject({
+	name: z.string(),
+	rows: z.array(z.number()),
+});
+
+function nested(depth: number): unknown {
+	return JSON.parse(`${'['.repeat(depth)}${']'.repeat(depth)}`);
+}
+
+test('a value of any depth, length or number of faults is told of in bounded messages', (t) => {
+	const value = fc.oneof(
+		fc.nat(200_000).map((depth) => nested(depth)),
+		fc.nat(300_000).map((len) => 'x'.repeat(len)),
+		fc.nat(200_000).map((len) => Array.from({length: len}, () => 'x')),
+		fc.jsonValue(),
+	);
+	fc.assert(
+		fc.property(value, value, value, (name, rows, novelty) => {
+			const odd = {name, rows, novelty};
+			checked(document, odd).ifLeft((faults) => {
+				t.true(faults.length > 0 && faults.length <= 100);
+				t.true(faults.every(({message}) => message.length <= maxMessageLen));
+			});
+			t.true(checked(document, odd).isLeft());
+		}),
+		{numRuns: 10},
+	);
+});
+
+test('a short value that is wrong is shown whole', (t) => {
+	const odd = {name: {a: [1, null]}, rows: [], novelty: 'x'};
+	t.deepEqual(checked(document, odd).extract(), [
+		{
+			path: 'name',
+			message:
+				'Invalid input: expected string, received object, found {"a":[1,null]}',
+		},
+		{path: 'novelty', message: 'unknown key, allowed: name, rows, found "x"'},
+	]);
+});
--- a/packages/fakes/src/platform/stand-in-store.ts
+++ b/packages/fakes/src/platform/stand-in-store.ts
@@ -12,11 +12,18 @@
 	status: unknown;
 };
 
+/** An object as JSON text, which need not be sound. */
+type Stored = {
+	readonly name: string;
+	readonly rev: number;
+	readonly text: string;
+};
+
 type Change = {
 	readonly rev: number;
 	readonly kind: string;
 	readonly removed: boolean;
-	readonly object: Held;
+	readonly object: Stored;
 };
 
 const prefix = '/kingcuproute/objects/';
@@ -28,7 +35,7 @@
 	failing: number | undefined;
 	/** Changes before this revision are forgotten. */
 	forgottenTo = 0;
-	readonly #kinds = new Map<string, Map<string, Held>>();
+	readonly #kinds = new Map<string, Map<string, Stored>>();
 	readonly #changes: Change[] = [];
 	readonly #waiting = new Set<() => void>();
 	#rev = 1;
@@ -50,10 +57,17 @@
 	}
 
 	put(kind: string, name: string, spec: unknown, status?: unknown): void {
-		const objects = this.#kinds.get(kind) ?? new Map<string, Held>();
+		this.putText(kind, name, (rev) =>
+			JSON.stringify({metadata: {name, rev}, spec, status}),
+		);
+	}
+
+	/** Stores the text that `textOf` makes of the revision, as it is: another writer may leave anything. */
+	putText(kind: string, name: string, textOf: (rev: number) => string): void {
+		const objects = this.#kinds.get(kind) ?? new Map<string, Stored>();
 		this.#kinds.set(kind, objects);
 		this.#rev++;
-		const object = {metadata: {name, rev: this.#rev}, spec, status};
+		const object = {name, rev: this.#rev, text: textOf(this.#rev)};
 		objects.set(name, object);
 		this.#changed({rev: this.#rev, kind, removed: false, object});
 	}
@@ -99,11 +113,13 @@
 
 	#list(kind: string, after: string, res: ServerResponse): void {
 		const all = [...(this.#kinds.get(kind)?.values() ?? [])]
-			.filter(({metadata}) => metadata.name > after)
-			.sort((a, b) => (a.metadata.name < b.metadata.name ? -1 : 1));
+			.filter(({name}) => name > after)
+			.sort((a, b) => (a.name < b.name ? -1 : 1));
 		const items = all.slice(0, this.pageLen);
 		const more = all.length > items.length;
-		send(res, 200, {items, more, storeRevision: this.#rev});
+		const texts = items.map(({text}) => text).join(',');
+		const rest = `"more":${more},"storeRevision":${this.#rev}`;
+		sendText(res, 200, `{"items":[${texts}],${rest}}`);
 	}
 
 	#watch(kind: string, query: URLSearchParams, res: ServerResponse): void {
@@ -116,8 +132,13 @@
 		const news = () =>
 			this.#changes.filter((one) => one.kind === kind && one.rev > since);
 		const answer = () => {
-			const events = news().map(({object, removed}) => ({object, removed}));
-			send(res, 200, {events, storeRevision: this.#rev});
+			const events = news()
+				.map(
+					({object, removed}) =>
+						`{"object":${object.text},"removed":${removed}}`,
+				)
+				.join(',');
+			sendText(res, 200, `{"events":[${events}],"storeRevision":${this.#rev}}`);
 		};
 
 		if (news().length > 0) {
@@ -163,17 +184,21 @@
 			return;
 		}
 
-		if (!isHeld || (held && body?.metadata.rev !== held.metadata.rev)) {
-			send(res, 409, held);
+		if (!isHeld || (held && body?.metadata.rev !== held.rev)) {
+			sendText(res, 409, held?.text ?? '');
 			return;
 		}
 
 		this.put(kind, name, body?.spec);
-		send(res, 200, this.#kinds.get(kind)!.get(name));
+		sendText(res, 200, this.#kinds.get(kind)!.get(name)!.text);
 	}
 }
 
 function send(res: ServerResponse, status: number, body: unknown): void {
+	sendText(res, status, JSON.stringify(body));
+}
+
+function sendText(res: ServerResponse, status: number, text: string): void {
 	res.writeHead(status, {'content-type': 'application/json'});
-	res.end(JSON.stringify(body));
+	res.end(text);
 }
--- /dev/null
+++ b/packages/fakes/test/odd-entries.test.ts
@@ -0,0 +1,77 @@
+/** Objects in the platform's store that another writer has left, beside sound ones. */
+import test from 'ava';
+import {answer, site, type Site} from './gateway-site.js';
+import {until} from './requests-fixture.js';
+
+/** Deeper than JSON can be written by recursion. */
+const depth = 100_000;
+const nested = `${'['.repeat(depth)}${']'.repeat(depth)}`;
+
+/** Kind, name and spec of objects that are nested deeply where the daemon reads. */
+const nestedObjects = [
+	['servers', 'i-0', `{"addr":${nested},"info":{"service":"plain"}}`],
+	['servers', 'i-9', nested],
+	['evacuations', 'b', nested],
+	['kingcuproute-range-tables', 'other', nested],
+	['kingcuproute-keepers', 'other', nested],
+	['kingcuproute-daemons', 'other', nested],
+	['kingcuproute-key-traffic', 'other', nested],
+] as const;
+
+function leave(
+	made: Site,
+	[kind, name, spec]: readonly [string, string, string],
+) {
+	made.store.putText(
+		kind,
+		name,
+		(rev) => `{"metadata":{"name":"${name}","rev":${rev}},"spec":${spec}}`,
+	);
+}
+
+/** Requests to both services are answered, and a server that is added now is heard of. */
+async function serves(made: Site): Promise<void> {
+	const key = {'x-kingcuproute-shard-key': '7'};
+	await until(async () => (await made.status('/clock/', key)) === 200);
+	let heard = false;
+	await made.add('i-new', 'plain', (req, res, body) => {
+		heard = true;
+		answer(req, res, body);
+	});
+	await until(async () => {
+		const status = await made.status('/book/x', {}, 'b');
+		return status === 200 && heard;
+	});
+}
+
+for (const when of ['before the daemon starts', 'while the daemon runs']) {
+	test(`deeply nested objects left ${when} neither end nor blind it`, async (t) => {
+		const made = site(t);
+		await made.add('i-1', 'plain', answer);
+		await made.add('k-1', 'keyed', answer);
+		const isBefore = when.startsWith('before');
+		if (!isBefore) {
+			await made.start();
+		}
+
+		for (const object of nestedObjects) {
+			leave(made, object);
+		}
+
+		if (isBefore) {
+			await made.start();
+		}
+
+		await serves(made);
+		t.is(await made.isReady(), 200);
+		for (const object of ['servers/i-0', 'kingcuproute-range-tables/other']) {
+			const lines = made
+				.log()
+				.filter(
+					(line) =>
+						line.includes('event=object-unreadable') && line.includes(object),
+				);
+			t.is(lines.length, 1, `lines about ${object}`);
+		}
+	});
+}
