Play random troubles over the keepers of keys, and look for two holders

The incident needed a grant carried out late, a change of keeper and a move of the same keys within seconds; no test put the three together but by hand. A property test now plays random series of troubles over three keepers and four servers: late, lost, unanswered and refused orders, cuts from the store, writes that land late, freezes, kills, stops, servers that leave, crash or are followed at their address, and busy keys. At each 50 ms no key may have two holders, fences rise with each change of hands, and 25 s after the last trouble each key has one.

The store in memory moves to a file of its own; servers' clocks run 2% slow in all these tests.

--- a/packages/daemon/test/gateway-keepers.ts
+++ b/packages/daemon/test/gateway-keepers.ts
@@ -5,95 +5,17 @@
 	type ListedServer,
 	type Millis,
 } from '@kingcuproute/core';
-import {
-	KeyOrders,
-	ObjectStore,
-	type Addressee,
-	type ObjectError,
-	type ObjectWrite,
-	type OrderEnd,
-	type StoredObject,
-} from '@kingcuproute/platform';
-import {Left, Right, type Either} from 'purify-ts';
+import {KeyOrders, type Addressee, type OrderEnd} from '@kingcuproute/platform';
 import {KeeperLease} from '../src/gateway/keeper-lease.js';
 import {KeyKeeper} from '../src/gateway/key-keeper.js';
 import {Log} from '../src/log/log.js';
+import {MemoryStore, stored} from './memory-store.js';
+import {RunClock} from './run-clock.js';
 import {Timers} from './timers.js';
 
-type Rev = {readonly revision: number; readonly spec: unknown};
-
-/** Objects in memory, with conditional writes; a watch is replaced by calls of `heard`. */
-class MemoryStore extends ObjectStore {
-	readonly objects = new Map<string, Rev>();
-	/** Daemons that do not reach the store. */
-	readonly cut = new Set<string>();
-	/** Daemons whose writes are done and get no answer. */
-	readonly unanswered = new Set<string>();
-	/** How long a write that is done waits for its answer. */
-	answerMs: Millis = 0;
-	#revision = 1;
-
-	constructor(
-		private readonly vm: string,
-		private readonly timers: Timers,
-		private readonly shared?: MemoryStore,
-	) {
-		super();
-	}
-
-	override async list(kind: string) {
-		const objects = [...this.#all()]
-			.filter(([path]) => path.startsWith(`${kind}/`))
-			.map(([path, held]) => stored(path, held));
-		return Right({revision: 0, objects});
-	}
-
-	override async watch(): Promise<Either<ObjectError, never>> {
-		return Left({kind: 'expired'});
-	}
-
-	override async write({kind, name, revision, spec}: ObjectWrite) {
-		const owner = this.shared ?? this;
-		if (owner.cut.has(this.vm)) {
-			return Left<ObjectError>({kind: 'unknown', message: 'cut off'});
-		}
-
-		const path = `${kind}/${name}`;
-		const held = owner.objects.get(path);
-		if (held?.revision !== revision) {
-			return Left<ObjectError>({
-				kind: 'conflict',
-				held: held && stored(path, held),
-			});
-		}
-
-		const next = owner.put(path, spec);
-		await this.timers.sleep(owner.answerMs);
-		return owner.unanswered.has(this.vm)
-			? Left<ObjectError>({kind: 'unknown', message: 'no answer'})
-			: Right(stored(path, next));
-	}
-
-	put(path: string, spec: unknown): Rev {
-		this.#revision++;
-		const next = {revision: this.#revision, spec};
-		this.objects.set(path, next);
-		return next;
-	}
-
-	override async remove() {
-		return Right(undefined);
-	}
-
-	#all() {
-		return (this.shared ?? this).objects;
-	}
-}
-
-function stored(path: string, {revision, spec}: Rev): StoredObject {
-	const name = path.slice(path.indexOf('/') + 1);
-	return {name, revision, spec, status: undefined, rest: {}};
-}
+const log = Log.to({level: 'silent', routingSample: 1}, {});
+/** A server's clock may run slow by this. */
+const slowClock = 1.02;
 
 type FencedKeys = Pick<KeyRange, 'from' | 'to' | 'fence'>;
 
@@ -109,7 +31,13 @@
 	/** Servers that leave grants unanswered and carry them out after this time. */
 	readonly late = new Map<string, Millis>();
 	readonly silent = new Set<string>();
-	/** Servers that take grants and do not answer them. */
+	/** Servers to which no connection is made. */
+	readonly refusing = new Set<string>();
+	/** How long an order is on its way. */
+	readonly wayMs = new Map<string, Millis>();
+	/** Grants taken by a fence that was not above those of other servers. */
+	readonly lowFences: string[] = [];
+	/** Servers that carry orders out and do not answer them. */
 	readonly unanswered = new Set<string>();
 	/** How long a server takes to answer a release. */
 	readonly releaseMs = new Map<string, Millis>();
@@ -117,6 +45,9 @@
 	readonly replaced = new Map<string, string>();
 	/** Grants taken, by address: their fences stay seen when the keys are gone. */
 	readonly #taken = new Map<string, FencedKeys[]>();
+	/** The same of all runs of a server. */
+	readonly #history = new Map<string, FencedKeys[]>();
+	readonly #crashes = new Map<string, number>();
 
 	constructor(private readonly timers: Timers) {
 		super();
@@ -133,10 +64,16 @@
 		}
 
 		const {address} = server;
-		const hold = {from, to, fence, until: this.timers.now() + leaseMs};
+		const until = this.timers.now() + leaseMs * slowClock;
+		const hold = {from, to, fence, until};
 		const lateMs = this.late.get(address);
 		if (lateMs !== undefined) {
-			this.timers.after(lateMs, () => this.#take(address, hold));
+			const run = this.#crashes.get(address);
+			this.timers.after(lateMs, () => {
+				if (this.#crashes.get(address) === run) {
+					this.#take(address, hold);
+				}
+			});
 			await this.timers.sleep(timeoutMs);
 			return {kind: 'unknown', message: 'no answer'};
 		}
@@ -166,6 +103,11 @@
 		const {address} = server;
 		await this.timers.sleep(this.releaseMs.get(address) ?? 0);
 		this.holds.set(address, this.#rest(address, from, to));
+		if (this.unanswered.has(address)) {
+			await this.timers.sleep(timeoutMs);
+			return {kind: 'unknown', message: 'no answer'};
+		}
+
 		return {kind: 'taken', handover: `from ${address}`};
 	}
 
@@ -181,11 +123,59 @@
 			.map(([address]) => address);
 	}
 
+	/** Keys with more than one holder now; undefined where there are none. */
+	doubled(): string | undefined {
+		const held = this.#held();
+		for (const [index, one] of held.entries()) {
+			const next = held.at(index + 1);
+			if (next && next.from <= one.to) {
+				return `${shown(one)} and ${shown(next)} at ${this.timers.now()}`;
+			}
+		}
+
+		return undefined;
+	}
+
+	/** How many keys are held. */
+	heldCount(): number {
+		let count = 0;
+		for (const {from, to} of this.#held()) {
+			count += to - from + 1;
+		}
+
+		return count;
+	}
+
+	/** Ends a server's run, and with it all that it held and had seen. */
+	crash(address: string): void {
+		this.holds.delete(address);
+		this.#taken.delete(address);
+		this.#crashes.set(address, (this.#crashes.get(address) ?? 0) + 1);
+	}
+
+	/** What is held now, by key. */
+	#held() {
+		const now = this.timers.now();
+		return [...this.holds]
+			.flatMap(([address, holds]) => holds.map((hold) => ({...hold, address})))
+			.filter(({until}) => now < until)
+			.sort((a, b) => a.from - b.from);
+	}
+
 	/** Why a server does not take an order; undefined where it does. */
 	async #untaken(
 		{address, backendServer}: Addressee,
 		timeoutMs: Millis,
 	): Promise<OrderEnd | undefined> {
+		if (this.refusing.has(address)) {
+			return {kind: 'unknown', message: 'connection refused'};
+		}
+
+		const wayMs = this.wayMs.get(address);
+		if (wayMs !== undefined) {
+			await this.timers.sleep(wayMs);
+		}
+
 		if (this.silent.has(address)) {
 			await this.timers.sleep(timeoutMs);
 			return {kind: 'unknown', message: 'no answer'};
@@ -199,17 +189,40 @@
 	#take(address: string, hold: Hold): boolean {
 		const {from, to, fence} = hold;
 		const taken = this.#taken.get(address) ?? [];
-		if (
-			taken.some((one) => one.from <= to && from <= one.to && one.fence > fence)
-		) {
+		if (taken.some((one) => isOn(one, hold) && one.fence > fence)) {
 			return false;
 		}
 
 		this.#taken.set(address, [...taken, {from, to, fence}]);
+		this.#note(address, hold);
 		this.holds.set(address, [...this.#rest(address, from, to), hold]);
 		return true;
 	}
 
+	/** Keeps the grant in mind, and whether another server had one of its keys by as high a fence. */
+	#note(address: string, hold: Hold): void {
+		for (const [other, had] of this.#history) {
+			const above = had.find(
+				(one) => isOn(one, hold) && one.fence >= hold.fence,
+			);
+			if (above && other !== address && this.timers.now() < hold.until) {
+				const taken = shown({...hold, address});
+				this.lowFences.push(
+					`${taken} after ${shown({...above, address: other})}`,
+				);
+			}
+		}
+
+		const {from, to, fence} = hold;
+		const had = this.#history.get(address) ?? [];
+		const isNew = had.every(
+			(one) => one.fence !== fence || one.from !== from || one.to !== to,
+		);
+		if (isNew) {
+			this.#history.set(address, [...had, {from, to, fence}]);
+		}
+	}
+
 	#rest(address: string, from: number, to: number): Hold[] {
 		return (this.holds.get(address) ?? []).flatMap((hold) =>
 			to < hold.from || from > hold.to
@@ -222,12 +235,46 @@
 	}
 }
 
-function server(backendServer: string): ListedServer {
+function isOn(one: FencedKeys, other: FencedKeys): boolean {
+	return one.from <= other.to && other.from <= one.to;
+}
+
+function shown(hold: FencedKeys & {readonly address: string}): string {
+	const {address, from, to, fence} = hold;
+	return `${address}: ${from} to ${to} by ${fence}`;
+}
+
+/** The orders of one run of a daemon, which hears of their ends only while it runs. */
+class RunOrders extends KeyOrders {
+	constructor(
+		private readonly servers: HoldingServers,
+		private readonly clock: RunClock,
+	) {
+		super();
+	}
+
+	override async grant(...order: Parameters<KeyOrders['grant']>) {
+		const end = await this.servers.grant(...order);
+		await this.clock.turn();
+		return end;
+	}
+
+	override async release(...order: Parameters<KeyOrders['release']>) {
+		const end = await this.servers.release(...order);
+		await this.clock.turn();
+		return end;
+	}
+}
+
+/** The newest run of a server: when it started, and where. */
+export type ServerRun = Pick<ListedServer, 'startedAt' | 'address'>;
+
+function server(backendServer: string, run?: ServerRun): ListedServer {
 	return {
 		backendServer,
-		startedAt: 1,
+		startedAt: run?.startedAt ?? 1,
+		address: run?.address ?? backendServer,
 		service: 's',
-		address: backendServer,
 		failureDomain: 'a',
 		slots: 3,
 		draining: false,
@@ -238,32 +285,34 @@
 /** Daemons that keep the keys of one service of `servers`, each told what the store holds. */
 export function fleet(vms: readonly string[], names: readonly string[]) {
 	const timers = new Timers();
-	const shared = new MemoryStore('', timers);
+	const shared = new MemoryStore('', new RunClock(timers));
 	const orders = new HoldingServers(timers);
 	let servers = names.map((name) => server(name));
 	let listed = servers;
 	let traffic: KeyTraffic = {rates: new Map(), runMs: new Map()};
-	const log = Log.to({level: 'silent', routingSample: 1}, {});
-	const daemons = vms.map((vm) => {
-		const store = new MemoryStore(vm, timers, shared);
-		const lease = new KeeperLease('s', vm, {store, clock: timers, log});
+	const started = (vm: string) => {
+		const clock = new RunClock(timers);
+		const store = new MemoryStore(vm, clock, shared);
+		const lease = new KeeperLease('s', vm, {store, clock, log});
 		const keeper = new KeyKeeper({
 			service: 's',
 			lease,
 			store,
-			orders,
-			clock: timers,
+			orders: new RunOrders(orders, clock),
+			clock,
 			log,
 			servers: () => servers,
 			listed: () => listed,
 			traffic: () => traffic,
 		});
 		keeper.start();
-		return {vm, lease, keeper};
-	});
+		return {vm, clock, lease, keeper};
+	};
+
+	const daemons = vms.map((vm) => started(vm));
 	const tell = () => {
-		for (const {vm, lease, keeper} of daemons) {
-			if (!shared.cut.has(vm)) {
+		for (const {vm, clock, lease, keeper} of daemons) {
+			if (clock.isRunning && !shared.cut.has(vm)) {
 				lease.heard(held('kingcuproute-keepers/s'));
 				keeper.heard(held('kingcuproute-range-tables/s'));
 			}
@@ -283,13 +332,25 @@
 		unanswered: shared.unanswered,
 		shared,
 		put: (path: string, spec: unknown) => shared.put(path, spec),
-		list(next: readonly string[], leaving: readonly string[] = []) {
-			servers = next.map((name) => server(name));
-			listed = [...servers, ...leaving.map((name) => server(name))];
+		/** Servers by name; the runs of those that have started again. */
+		list(
+			next: readonly string[],
+			leaving: readonly string[] = [],
+			runs: ReadonlyMap<string, ServerRun> = new Map(),
+		) {
+			const found = (name: string) => server(name, runs.get(name));
+			servers = next.map((name) => found(name));
+			listed = [...servers, ...leaving.map((name) => found(name))];
 		},
 		see(next: KeyTraffic) {
 			traffic = next;
 		},
+		/** Ends a daemon's run and starts the next on the same VM. */
+		restart(index: number) {
+			const {vm, clock} = daemons[index];
+			clock.end();
+			daemons[index] = started(vm);
+		},
 		/** Lets time pass and checks at each step what must always hold. */
 		async pass(ms: Millis, check: () => void) {
 			for (let passed = 0; passed < ms; passed += 50) {
