Grant keys to a run only while it is listed and not known to have ended

Cause: keys may wait for seconds until they are free, and were then granted to the run that was chosen before, by its address of that time. If it is over, a later run under its id may take the grant by a fence that the table gives to the former one, or nobody answers and the keys wait out a lease that no one has.

Change: the table is written as planned, since an earlier try may still land, but a run that is over is sent nothing (`taker-gone` in the log); no lease is waited for, and the next plan gives the keys on.

--- a/packages/daemon/src/gateway/key-keeper.ts
+++ b/packages/daemon/src/gateway/key-keeper.ts
@@ -300,6 +300,14 @@
 		);
 	}
 
+	/** Whether this very run of the server is listed, and not known to have ended. */
+	#isThere(server: ListedServer): boolean {
+		return (
+			!this.#grants.hasEnded(server) &&
+			this.means.listed().some((one) => isSameRun(one, server))
+		);
+	}
+
 	#give(batch: readonly Released[], {ranges}: RangeTable): void {
 		const {log, service} = this.means;
 		for (const {move, handover} of batch) {
@@ -307,12 +315,22 @@
 			const range = ranges.find((one) => one.from === from && one.to === to)!;
 			const {fence} = range;
 			const {backendServer} = target;
-			log.info('keys-granted', {service, backendServer, from, to, fence});
-			this.#grants.give(target, range, handover);
+			const keys = {service, backendServer, from, to, fence};
+			if (this.#isThere(target)) {
+				log.info('keys-granted', keys);
+				this.#grants.give(target, range, handover);
+			} else {
+				// A later run at the address would take the grant by a fence that is not its own.
+				log.info('taker-gone', keys);
+			}
 		}
 	}
 }
 
+function isSameRun(a: ListedServer, b: ListedServer): boolean {
+	return a.backendServer === b.backendServer && a.startedAt === b.startedAt;
+}
+
 function overlaps(a: KeyMove, b: KeyMove): boolean {
 	return a.from <= b.to && b.from <= a.to;
 }
--- a/packages/daemon/test/gateway-keeper.test.ts
+++ b/packages/daemon/test/gateway-keeper.test.ts
@@ -254,3 +254,18 @@
 		before,
 	);
 });
+
+test('keys that come free for a server that has started again meanwhile go to its new run at once', async (t) => {
+	const {orders, pass, list} = fleet(['x'], ['a', 'b']);
+	await pass(1500, () => undefined);
+	orders.silent.add('a');
+	list(['b'], ['a']);
+	await pass(1000, () => undefined);
+	orders.crash('b');
+	orders.refusing.add('b');
+	list(['b'], ['a'], new Map([['b', {startedAt: 2, address: 'b2'}]]));
+	await pass(9000, () => {
+		t.true(someKeys.every((key) => orders.holding(key).length <= 1));
+	});
+	t.true(someKeys.every((key) => orders.holding(key)[0] === 'b2'));
+});
