Give the keeper's table and its planner files of their own

KeptTable holds and writes the range table, KeyPlanner says which keys are to move; the keeper carries it out.

--- /dev/null
+++ b/packages/daemon/src/gateway/kept-table.ts
@@ -0,0 +1,84 @@
+/** The range table of one service: as the store was last heard to have it, and written only on top of that. */
+import {fold, type RangeTable} from '@kingcuproute/core';
+import {
+	parseRangeTable,
+	rangeTablesKind,
+	rangeTableSpec,
+	shownError,
+	type ObjectStore,
+	type StoredObject,
+} from '@kingcuproute/platform';
+import {type Log} from '../log/log.js';
+
+export type KeptTableMeans = {
+	readonly service: string;
+	readonly store: ObjectStore;
+	readonly log: Log;
+};
+
+export class KeptTable {
+	#object: StoredObject | undefined;
+	#table: RangeTable;
+	#isWriting = false;
+
+	constructor(private readonly means: KeptTableMeans) {
+		this.#table = {service: means.service, nextFence: 1, ranges: []};
+	}
+
+	get value(): RangeTable {
+		return this.#table;
+	}
+
+	get isWriting(): boolean {
+		return this.#isWriting;
+	}
+
+	/** Takes in the table's object as the store has it. */
+	heard(object: StoredObject | undefined): void {
+		if ((object?.revision ?? 0) <= (this.#object?.revision ?? 0)) {
+			return;
+		}
+
+		parseRangeTable(object?.spec).ifRight((table) => {
+			this.#object = object;
+			this.#table = table;
+		});
+	}
+
+	/** Replaces the table in the store; false when that failed or may have failed. */
+	async put(table: RangeTable): Promise<boolean> {
+		const {store, service, log} = this.means;
+		this.#isWriting = true;
+		const written = await store.write({
+			kind: rangeTablesKind,
+			name: service,
+			revision: this.#object?.revision,
+			spec: rangeTableSpec(table),
+		});
+		this.#isWriting = false;
+		return fold(
+			written,
+			(error) => {
+				log.warn('table-not-written', {service, error: shownError(error)});
+				if (error.kind === 'conflict') {
+					this.heard(error.held);
+				}
+
+				return false;
+			},
+			(object) => {
+				this.#object = object;
+				this.#table = table;
+				return true;
+			},
+		);
+	}
+
+	/** Whether the table last heard of is `table`: a write whose answer was lost, or the same by another daemon. */
+	has(table: RangeTable): boolean {
+		return (
+			JSON.stringify(rangeTableSpec(this.#table)) ===
+			JSON.stringify(rangeTableSpec(table))
+		);
+	}
+}
--- a/packages/daemon/src/gateway/key-keeper.ts
+++ b/packages/daemon/src/gateway/key-keeper.ts
@@ -4,37 +4,24 @@
  * table in the store names a new holder before the holder hears of it.
  */
 import {
-	fold,
 	moved,
-	planKeys,
-	planLoad,
-	refenced,
 	isHeldBy,
+	refenced,
 	without,
 	type KeyMove,
 	type KeyRange,
-	type KeyTraffic,
 	type ListedServer,
 	type Millis,
 	type RangeTable,
 } from '@kingcuproute/core';
-import {
-	parseRangeTable,
-	rangeTablesKind,
-	rangeTableSpec,
-	shownError,
-	type ObjectStore,
-	type StoredObject,
-} from '@kingcuproute/platform';
+import {type StoredObject} from '@kingcuproute/platform';
+import {KeptTable, type KeptTableMeans} from './kept-table.js';
 import {KeyGrants, type KeyGrantsMeans} from './key-grants.js';
+import {KeyPlanner, type KeyPlannerMeans} from './key-planner.js';
 
 const tickMs: Millis = 100;
 /** How long keys that are free wait for others of their plan: every daemon reads each writing of the table. */
 const batchMs: Millis = 250;
-/** After moves that even out the load: the requests seen since then take that long to be reported. */
-const settleMs: Millis = 2000;
-/** Between two looks at the load: half of the time between two reports. */
-const lookMs: Millis = 500;
 
 /** A move whose keys nobody holds any more, which waits to be written. */
 type Released = {
@@ -43,30 +30,23 @@
 	readonly at: Millis;
 };
 
-export type KeyKeeperMeans = KeyGrantsMeans & {
-	readonly store: ObjectStore;
-	/** Servers of the service that may hold keys. */
-	readonly servers: () => readonly ListedServer[];
-	/** What the fleet sees of the service's requests. */
-	readonly traffic: () => KeyTraffic;
-};
+export type KeyKeeperMeans = KeyGrantsMeans & KeptTableMeans & KeyPlannerMeans;
 
 export class KeyKeeper {
-	#held: StoredObject | undefined;
-	#table: RangeTable;
+	readonly #table: KeptTable;
 	readonly #grants: KeyGrants;
+	readonly #planner: KeyPlanner;
 	readonly #moving = new Set<KeyMove>();
 	#released: Released[] = [];
-	#writing = false;
 	/** Whether the table was written under the lease now held: no older write can land after that. */
 	#inForce = false;
 	#wasKeeper = false;
-	#nextLookAt: Millis = -Infinity;
 	#cancel: (() => void) | undefined;
 
 	constructor(private readonly means: KeyKeeperMeans) {
-		this.#table = {service: means.service, nextFence: 1, ranges: []};
+		this.#table = new KeptTable(means);
 		this.#grants = new KeyGrants(means);
+		this.#planner = new KeyPlanner(means, this.#grants);
 	}
 
 	start(): void {
@@ -82,14 +62,7 @@
 
 	/** Takes in the table's object as the store has it. */
 	heard(object: StoredObject | undefined): void {
-		if ((object?.revision ?? 0) <= (this.#held?.revision ?? 0)) {
-			return;
-		}
-
-		parseRangeTable(object?.spec).ifRight((table) => {
-			this.#held = object;
-			this.#table = table;
-		});
+		this.#table.heard(object);
 	}
 
 	async #tick(): Promise<void> {
@@ -101,7 +74,7 @@
 		}
 
 		this.#noteLoss();
-		if (!lease.isHeld || this.#writing) {
+		if (!lease.isHeld || this.#table.isWriting) {
 			return;
 		}
 
@@ -133,9 +106,9 @@
 	 */
 	async #takeOver(): Promise<void> {
 		const {log, service} = this.means;
-		const {ranges} = this.#table;
-		const table = refenced(this.#table);
-		if (!(await this.#put(table))) {
+		const {ranges} = this.#table.value;
+		const table = refenced(this.#table.value);
+		if (!(await this.#table.put(table))) {
 			return;
 		}
 
@@ -148,35 +121,6 @@
 		});
 	}
 
-	/** Replaces the table in the store; false when that failed or may have failed. */
-	async #put(table: RangeTable): Promise<boolean> {
-		const {store, service, log} = this.means;
-		this.#writing = true;
-		const written = await store.write({
-			kind: rangeTablesKind,
-			name: service,
-			revision: this.#held?.revision,
-			spec: rangeTableSpec(table),
-		});
-		this.#writing = false;
-		return fold(
-			written,
-			(error) => {
-				log.warn('table-not-written', {service, error: shownError(error)});
-				if (error.kind === 'conflict') {
-					this.heard(error.held);
-				}
-
-				return false;
-			},
-			(object) => {
-				this.#held = object;
-				this.#table = table;
-				return true;
-			},
-		);
-	}
-
 	#renew(): void {
 		for (const server of this.means.listed()) {
 			this.#grants.renew(server, this.#rangesOf(server));
@@ -185,7 +129,9 @@
 
 	/** What a server holds and is not about to give up. */
 	#rangesOf(server: ListedServer): readonly KeyRange[] {
-		let ranges = this.#table.ranges.filter((range) => isHeldBy(range, server));
+		let ranges = this.#table.value.ranges.filter((range) =>
+			isHeldBy(range, server),
+		);
 		for (const {from, to} of this.#moving) {
 			ranges = ranges.flatMap((range) => without(range, from, to));
 		}
@@ -193,69 +139,19 @@
 		return ranges;
 	}
 
-	/** Plans as if the moves under way were done, and leaves their keys alone. */
 	#plan(): void {
 		const pending = [...this.#moving];
-		if (this.#table.ranges.length === 0 && pending.length > 0) {
+		const {value} = this.#table;
+		if (value.ranges.length === 0 && pending.length > 0) {
 			return;
 		}
 
-		let table = this.#table;
-		for (const move of pending) {
-			table = moved(table, move);
-		}
-
-		// The entry of a run that has ended stays listed for some seconds.
-		const servers = this.means
-			.servers()
-			.filter((server) => !this.#grants.hasEnded(server));
-		const needed = this.#due(planKeys(table, servers), servers);
-		const moves = needed.length > 0 ? needed : this.#evenOut(table, servers);
-		for (const move of moves) {
-			if (!pending.some((other) => overlaps(move, other))) {
-				this.#moving.add(move);
-				void this.#free(move);
-			}
+		for (const move of this.#planner.moves(value, pending)) {
+			this.#moving.add(move);
+			void this.#free(move);
 		}
 	}
 
-	#evenOut(
-		table: RangeTable,
-		servers: readonly ListedServer[],
-	): readonly KeyMove[] {
-		const {clock, traffic, log, service} = this.means;
-		const now = clock.now();
-		if (now < this.#nextLookAt) {
-			return [];
-		}
-
-		const seen = traffic();
-		const moves = this.#due(planLoad(table, servers, seen), servers);
-		this.#nextLookAt = now + (moves.length > 0 ? settleMs : lookMs);
-		if (moves.length > 0) {
-			const count = moves.length;
-			log.info('load-evened-out', {service, count, keys: seen.rates.size});
-		}
-
-		return moves;
-	}
-
-	/**
-	 * Puts off moves that are not urgent while their holder may still carry out a grant:
-	 * nobody would serve their keys until every lease on them is over.
-	 */
-	#due(
-		moves: readonly KeyMove[],
-		servers: readonly ListedServer[],
-	): readonly KeyMove[] {
-		return moves.filter(
-			({holder, from, to}) =>
-				!holder ||
-				!servers.some((server) => isHeldBy(holder, server)) ||
-				this.#grants.isSettled(holder, from, to),
-		);
-	}
-
 	/** Gets the move's keys free of their holder; a move planned under a former lease is dropped. */
 	async #free(move: KeyMove): Promise<void> {
 		const {from, to, holder} = move;
@@ -275,13 +171,13 @@
 			return;
 		}
 
-		let table = this.#table;
+		let table = this.#table.value;
 		for (const {move} of batch) {
 			table = moved(table, move);
 		}
 
 		// What fails is tried again as it is, since the first try may still land.
-		const written = (await this.#put(table)) || this.#has(table);
+		const written = (await this.#table.put(table)) || this.#table.has(table);
 		const isCurrent = batch.every(({move}) => this.#moving.has(move));
 		if (written && isCurrent && this.means.lease.isHeld) {
 			this.#released = this.#released.slice(batch.length);
@@ -292,14 +188,6 @@
 		}
 	}
 
-	/** Whether the table last heard of is `table`: a write whose answer was lost. */
-	#has(table: RangeTable): boolean {
-		return (
-			JSON.stringify(rangeTableSpec(this.#table)) ===
-			JSON.stringify(rangeTableSpec(table))
-		);
-	}
-
 	/** Whether this very run of the server is listed, and not known to have ended. */
 	#isThere(server: ListedServer): boolean {
 		return (
@@ -330,7 +218,3 @@
 function isSameRun(a: ListedServer, b: ListedServer): boolean {
 	return a.backendServer === b.backendServer && a.startedAt === b.startedAt;
 }
-
-function overlaps(a: KeyMove, b: KeyMove): boolean {
-	return a.from <= b.to && b.from <= a.to;
-}
