Begin anew with each tenure of a keeper, however it is heard of

Cause: a keeper that had held the lease before, and takes it again, may hear of its own beat from the store's watch while the answer to the write is lost. It held the lease from then on, but began anew (new fences, no trust in former grants) only once the write had ended, up to 1.5 s later. Until then it ordered as if nobody had held the lease in between.

Change: the lease counts its tenures, and the keeper begins anew whenever the count has changed; a plan that was written in one tenure is granted in no other.

Test: gateway-keeper.test.ts, "a keeper that hears of its lease before the answer to its beat trusts nothing of its former tenure", failed before with two holders.

--- a/packages/daemon/src/gateway/keeper-lease.ts
+++ b/packages/daemon/src/gateway/keeper-lease.ts
@@ -35,6 +35,7 @@
 	#held: StoredObject | undefined;
 	#changedAt: Millis;
 	#until: Millis = -Infinity;
+	#tenure = 0;
 	/** The newest beat, and when it was sent. */
 	#sent: {readonly beat: number; readonly at: Millis} = {
 		beat: 0,
@@ -60,6 +61,11 @@
 		return this.means.clock.now() < this.#until;
 	}
 
+	/** Counts the times that the lease was taken: another daemon may have held it since the one before. */
+	get tenure(): number {
+		return this.#tenure;
+	}
+
 	/** Takes in the lease's object as the store has it; undefined while there is none. */
 	heard(object: StoredObject | undefined): void {
 		if (!object || object.revision <= (this.#held?.revision ?? 0)) {
@@ -73,21 +79,17 @@
 			this.#until = -Infinity;
 		} else if (keeper.beat === this.#sent.beat) {
 			// The answer to the beat may be lost: the store has it all the same.
-			this.#until = this.#sent.at + leaseMs;
+			this.#hold(this.#sent.at + leaseMs);
 		}
 	}
 
-	/** Beats, or takes a lease that has lapsed; to be called every 100 ms or so. Tells whether it was taken just now. */
-	async tend(): Promise<boolean> {
+	/** Beats, or takes a lease that has lapsed; to be called every 100 ms or so. */
+	async tend(): Promise<void> {
 		const now = this.means.clock.now();
 		const mayBeat = now - this.#sent.at >= beatMs;
-		if (this.#writing || !mayBeat || !(this.isHeld || this.#isFree(now))) {
-			return false;
+		if (!this.#writing && mayBeat && (this.isHeld || this.#isFree(now))) {
+			await this.#beat(this.vm);
 		}
-
-		const wasHeld = this.isHeld;
-		await this.#beat(this.vm);
-		return !wasHeld && this.isHeld;
 	}
 
 	/** Gives the lease up, so that another daemon need not wait it out. */
@@ -98,6 +100,14 @@
 		}
 	}
 
+	#hold(until: Millis): void {
+		if (!this.isHeld) {
+			this.#tenure++;
+		}
+
+		this.#until = until;
+	}
+
 	async #beat(vm: string): Promise<void> {
 		const beat = Math.max(
 			this.#sent.beat + 1,
--- a/packages/daemon/src/gateway/key-keeper.ts
+++ b/packages/daemon/src/gateway/key-keeper.ts
@@ -40,6 +40,7 @@
 	#released: Released[] = [];
 	/** Whether the table was written under the lease now held: no older write can land after that. */
 	#inForce = false;
+	#tenure = 0;
 	#wasKeeper = false;
 	#cancel: (() => void) | undefined;
 
@@ -67,7 +68,9 @@
 
 	async #tick(): Promise<void> {
 		const {lease} = this.means;
-		if (await lease.tend()) {
+		await lease.tend();
+		if (lease.tenure !== this.#tenure) {
+			this.#tenure = lease.tenure;
 			this.#inForce = false;
 			this.#moving.clear();
 			this.#released = [];
@@ -164,6 +167,8 @@
 	}
 
 	async #write(): Promise<void> {
+		const {lease} = this.means;
+		const {tenure} = lease;
 		const batch = [...this.#released];
 		const waitedMs = this.means.clock.now() - (batch.at(0)?.at ?? Infinity);
 		const isWhole = batch.length === this.#moving.size;
@@ -178,8 +183,11 @@
 
 		// What fails is tried again as it is, since the first try may still land.
 		const written = (await this.#table.put(table)) || this.#table.has(table);
-		const isCurrent = batch.every(({move}) => this.#moving.has(move));
-		if (written && isCurrent && this.means.lease.isHeld) {
+		const isCurrent =
+			lease.isHeld &&
+			lease.tenure === tenure &&
+			batch.every(({move}) => this.#moving.has(move));
+		if (written && isCurrent) {
 			this.#released = this.#released.slice(batch.length);
 			this.#give(batch, table);
 			for (const {move} of batch) {
--- a/packages/daemon/test/gateway-keeper.test.ts
+++ b/packages/daemon/test/gateway-keeper.test.ts
@@ -269,3 +269,28 @@
 	});
 	t.true(someKeys.every((key) => orders.holding(key)[0] === 'b2'));
 });
+
+test('a keeper that hears of its lease before the answer to its beat trusts nothing of its former tenure', async (t) => {
+	const {orders, daemons, pass, list, cut, unanswered} = fleet(
+		['x', 'y'],
+		['a', 'b'],
+	);
+	await pass(1500, () => undefined);
+	const first = daemons.find(({lease}) => lease.isHeld)!;
+	const second = daemons.find(({lease}) => !lease.isHeld)!;
+	cut.add(first.vm);
+	await pass(6000, () => undefined);
+	t.true(second.lease.isHeld);
+	cut.delete(first.vm);
+	orders.late.set('a', 3000);
+	await pass(1400, () => undefined);
+	orders.late.clear();
+	unanswered.add(first.vm);
+	void second.keeper.stop();
+	await pass(200, () => undefined);
+	unanswered.delete(first.vm);
+	list(['b'], ['a']);
+	await pass(12_000, () => {
+		t.true(someKeys.every((key) => orders.holding(key).length <= 1));
+	});
+});
--- a/packages/daemon/test/memory-store.ts
+++ b/packages/daemon/test/memory-store.ts
@@ -60,10 +60,13 @@
 		}
 
 		const landed = owner.#land(write);
+		if (landed.isRight() && owner.unanswered.has(this.vm)) {
+			await this.clock.sleep(callTimeoutMs);
+			return Left<ObjectError>({kind: 'unknown', message: 'no answer'});
+		}
+
 		await this.clock.sleep(owner.answerMs);
-		return landed.isRight() && owner.unanswered.has(this.vm)
-			? Left<ObjectError>({kind: 'unknown', message: 'no answer'})
-			: landed;
+		return landed;
 	}
 
 	put(path: string, spec: unknown): Rev {
