Take a server only at an address that can be connected to

Callers got 502 for about half of the requests of a service (25 of 32 in the test), and of its keys, as long as one entry of it stood in the store with a port above 65535, or with a host that is none.

Cause: an address was any word with one to five digits after a colon. The URL made of it threw in the exchange, before the sending counted as lost, so the server was chosen again for the next request; a keeper gave it its part of the keys.

Evidence, before the change: odd-entries: "entries with addresses or ids that cannot be used take no request and no key": Difference: 25 statuses 502 or 503, expected none decoding: "a connection can be made to every address that is taken": Counterexample: ["!:65536"]

Ruled out: port 0 and user info, which the daemon took but which failed as a lost sending: 12 of 12 requests were answered by the next server. They are refused too.

Change: one check of HOST:PORT for entries, the store's address and the mesh, whose own was the only strict one; IPv6 in brackets is taken. An id must fit into a header field, and slots have a bound: 1e15 would draw every key.

--- a/packages/fakes/test/odd-entries.test.ts
+++ b/packages/fakes/test/odd-entries.test.ts
@@ -75,3 +75,39 @@
 		}
 	});
 }
+
+test('entries with addresses or ids that cannot be used take no request and no key', async (t) => {
+	const made = site(t);
+	await made.add('i-1', 'plain', answer);
+	await made.add('k-1', 'keyed', answer);
+	const odd = [
+		['x-1', '127.0.0.1:99999'],
+		['x-2', '127.0.0.1/x:80'],
+		['x-3', '999.1.1.1:80'],
+		['x\n4', '127.0.0.1:1'],
+	];
+	for (const [name, addr] of odd) {
+		for (const service of ['plain', 'keyed']) {
+			const info = {service, version: 'v1', zone: 'a', slots: 3};
+			const status = {state: 'ready', seq: 1, coldLeftMs: 0};
+			made.store.put('servers', `${name}${service}`, {addr, info}, status);
+		}
+	}
+
+	await made.start();
+	const ask = async (key: number) =>
+		made.status('/clock/', {'x-kingcuproute-shard-key': String(key)});
+	await until(async () => (await ask(0)) === 200);
+	const statuses: number[] = [];
+	for (let part = 0; part < 16; part++) {
+		statuses.push(
+			await made.status(`/book/${part}`, {}, 'b'),
+			await ask(part * 4096),
+		);
+	}
+
+	t.deepEqual(
+		statuses.filter((status) => status !== 200),
+		[],
+	);
+});
--- a/packages/platform/src/deployment.ts
+++ b/packages/platform/src/deployment.ts
@@ -10,6 +10,7 @@
 } from '@kingcuproute/core';
 import {Left} from 'purify-ts';
 import {z} from 'zod';
+import {maxPort, reachableAddress} from './reachable-address.js';
 
 /** Names the environment variable that holds the path of the settings file. */
 export const settingsVariable = 'KINGCUPROUTE_BOOT';
@@ -64,7 +65,8 @@
 	.transform((text): Address => {
 		const [host, port] = text.split(':');
 		return {host, port: Number(port)};
-	});
+	})
+	.refine(({port}) => port <= maxPort, `expected a port up to ${maxPort}`);
 
 /** A table whose missing fields are named one by one, also where all are missing. */
 function table<S extends z.ZodRawShape>(shape: S) {
@@ -82,7 +84,7 @@
 	platform: table({
 		heartbeatMs: numeric,
 		platform: table({
-			addr: z.string().regex(/^[^:\s]+:\d{1,5}$/, 'expected HOST:PORT'),
+			addr: reachableAddress,
 			writesPerS: numeric,
 			readsPerS: numeric,
 		}),
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -8,6 +8,7 @@
 export {type PlatformError} from './platform-error.js';
 export {HttpPlatform, type HttpPlatformOptions} from './http-platform.js';
 export {SystemClock} from './system-clock.js';
+export {reachableAddress} from './reachable-address.js';
 export {
 	parseDeployment,
 	settingsVariable,
--- a/packages/platform/src/listed-servers.ts
+++ b/packages/platform/src/listed-servers.ts
@@ -2,6 +2,7 @@
 import {checked, type Checked, type ListedServer} from '@kingcuproute/core';
 import {z} from 'zod';
 import {type StoredObject} from './object-store.js';
+import {reachableAddress} from './reachable-address.js';
 
 /** The kind under which backend servers register. */
 export const serversKind = 'servers';
@@ -9,13 +10,19 @@
 /** Missing where a server's start is not told: then its id alone tells its run. */
 const untoldStart = 0;
 
+/** More than one process runs at once, whatever it is. */
+const maxSlots = 65_536;
+/** An id goes into a header field of every request. */
+const id = /^[!-~]{1,255}$/;
+
 const entry = z.object({
-	addr: z.string().regex(/^[^:\s]+:\d{1,5}$/, 'expected HOST:PORT'),
+	name: z.string().regex(id, 'expected 1 to 255 printable characters'),
+	addr: reachableAddress,
 	born: z.number().int().nonnegative().optional(),
 	info: z.object({
 		service: z.string().min(1),
 		zone: z.string().min(1),
-		slots: z.number().int().positive(),
+		slots: z.number().int().positive().max(maxSlots),
 	}),
 	status: z.object({
 		state: z.enum(['ready', 'draining']),
@@ -31,7 +38,7 @@
 	rest,
 }: StoredObject): Checked<ListedServer> {
 	const said = typeof spec === 'object' && spec !== null ? spec : {};
-	const body = {...rest, ...(status ? {status} : {}), ...said};
+	const body = {...rest, ...(status ? {status} : {}), ...said, name};
 	return checked(entry, body).map(({addr, born, info, status: state}) => ({
 		backendServer: name,
 		startedAt: born ?? untoldStart,
--- a/packages/platform/test/decoding.test.ts
+++ b/packages/platform/test/decoding.test.ts
@@ -90,7 +90,7 @@
 	},
 };
 
-const entry: StoredObject = {
+const entry = {
 	name: 'i-1',
 	revision: 4,
 	spec: {
@@ -185,6 +185,86 @@
 	});
 });
 
+test('a server is taken at an address that can be connected to, and at no other', (t) => {
+	const listed = (addr: string) =>
+		parseListedServer({...entry, spec: {...entry.spec, addr}});
+	for (const fit of [
+		'10.128.0.9:1',
+		'h:65535',
+		'b-1.a_z.example:80',
+		'[fd00::1]:8080',
+	]) {
+		t.is(listed(fit).unsafeCoerce().address, fit);
+	}
+
+	for (const unfit of [
+		'10.128.0.9',
+		'10.128.0.9:0',
+		'10.128.0.9:65536',
+		'10.128.0.9:99999',
+		'999.1.1.1:80',
+		'user@10.128.0.9:80',
+		'user:pass@10.128.0.9:80',
+		'10.128.0.9/x:80',
+		'10.128.0.9?x:80',
+		'10.128.0.9 :80',
+		'10.128.0.9:80\n',
+		'%zz:80',
+		'fd00::1:80',
+		'[fd00:::1]:80',
+		'http://10.128.0.9:80',
+		`${'h'.repeat(300)}:80`,
+		':80',
+	]) {
+		t.true(listed(unfit).isLeft(), `${unfit.slice(0, 40)}`);
+	}
+
+	const text = settings.with(5, 'network.listen.ready=10.1.0.15:65536');
+	t.true(parseDeployment(text.join('\n')).isLeft());
+});
+
+test('a connection can be made to every address that is taken', (t) => {
+	const addr = fc.oneof(
+		fc.string({maxLength: 20}),
+		fc
+			.tuple(fc.string({maxLength: 12}), fc.nat(99_999))
+			.map(([host, port]) => `${host}:${port}`),
+		fc
+			.tuple(fc.ipV4(), fc.nat(99_999))
+			.map(([host, port]) => `${host}:${port}`),
+		fc
+			.tuple(fc.ipV6(), fc.nat(99_999))
+			.map(([host, port]) => `[${host}]:${port}`),
+	);
+	fc.assert(
+		fc.property(addr, (odd) => {
+			const spec = {...entry.spec, addr: odd};
+			parseListedServer({...entry, spec}).ifRight(({address}) => {
+				const {username, pathname, search, port} = new URL(`http://${address}`);
+				t.deepEqual([username, pathname, search], ['', '/', '']);
+				t.is(
+					Number(port === '' ? 80 : port),
+					Number(address.split(':').at(-1)),
+				);
+			});
+			t.pass();
+		}),
+		{numRuns: 2000},
+	);
+});
+
+test('a server whose id no header field can hold, or of more slots than there are, is a fault', (t) => {
+	for (const name of ['', 'i 1', 'i\r\n1', 'i-ü', 'i'.repeat(256)]) {
+		t.true(parseListedServer({...entry, name}).isLeft(), `${name.slice(0, 9)}`);
+	}
+
+	for (const slots of [1e15, 0, 2.5, Infinity]) {
+		const info = {...entry.spec.info, slots};
+		const spec = {...entry.spec, info};
+		t.true(parseListedServer({...entry, spec}).isLeft(), `${slots} slots`);
+	}
+});
+
 test('an answer says whether it ran, to whom it belongs and how busy its server is', (t) => {
 	t.deepEqual(
 		readMarks(503, {
