List every object beside one that cannot be read

A daemon would have taken all servers behind one unreadable object for gone: the object need only be the last of a page of the store's list.

Cause: a list went on after the last object of a page that could be read as a whole; where that was not the last one, the same page was read 200 times and the list passed for complete. A page of one unreadable object ended the list. Among changes, an object that could no longer be read left its former state in use, and one event that is no object failed the whole answer.

Ruled out: single items that are numbers, null or without metadata in the middle of a page, which were passed over already, without a log line.

Change: a list goes on from the last name that can be read, whatever else the object holds; one without a way on is an error and not a list. Listings and changes tell the names of what cannot be read, and an answer that cannot be read is an error of its own kind.

--- a/packages/fakes/test/object-store.test.ts
+++ b/packages/fakes/test/object-store.test.ts
@@ -84,6 +84,79 @@
 	t.is(kindOf(cut.extract()), 'unknown');
 });
 
+/** Items that are no objects; the last can be named, though not read. */
+const oddItems = [
+	'7',
+	'null',
+	'[]',
+	'{}',
+	'{"metadata":{"rev":1}}',
+	'{"metadata":{"name":"m","rev":"r1"}}',
+	'{"metadata":{"name":"m","rev":-1}}',
+	'{"metadata":{"name":"m","rev":1e400}}',
+];
+
+test('an item that cannot be read hides none of the others, wherever it stands', async (t) => {
+	const {standIn, store} = await standing(t);
+	for (const pageLen of [2, 3]) {
+		standIn.pageLen = pageLen;
+		for (const [index, item] of oddItems.entries()) {
+			const kind = `fruit-${pageLen}-${index}`;
+			for (const name of ['a', 'b', 'o', 'x', 'y']) {
+				standIn.put(kind, name, {});
+			}
+
+			for (const odd of ['m', 'z']) {
+				standIn.putText(kind, odd, () => item);
+			}
+
+			const listed = await store.list(kind);
+			const {objects, unreadable} = listed.unsafeCoerce();
+			const names = new Set(objects.map(({name}) => name));
+			t.deepEqual([...names], ['a', 'b', 'o', 'x', 'y'], `beside ${item}`);
+			t.deepEqual(unreadable, [item.includes('"m"') ? 'm' : '?']);
+		}
+	}
+});
+
+test('a list that gives no way on or goes round is not taken for whole', async (t) => {
+	const {standIn, store} = await standing(t);
+	standIn.pageLen = 1;
+	for (const [kind, item] of [
+		['nameless', '{}'],
+		['round', '{"metadata":{"name":"a","rev":1}}'],
+	]) {
+		standIn.put(kind, 'a', {});
+		standIn.putText(kind, 'm', () => item);
+		standIn.put(kind, 'z', {});
+		const listed = await store.list(kind);
+		t.is(kindOf(listed.extract()), 'unreadable');
+	}
+});
+
+test('an event that cannot be read hides none of the others, and takes what it names out', async (t) => {
+	const {standIn, store} = await standing(t);
+	standIn.put('fruit', 'a', {});
+	const listed = await store.list('fruit');
+	const {revision} = listed.unsafeCoerce();
+	for (const [index, item] of oddItems.entries()) {
+		standIn.putText('fruit', `o${index}`, () => item);
+		standIn.put('fruit', `s${index}`, {});
+	}
+
+	const heard = await store.watch('fruit', revision, 1000);
+	const {changes, unreadable} = heard.unsafeCoerce();
+	t.deepEqual(
+		changes.filter(({removed}) => !removed).map(({object}) => object.name),
+		oddItems.map((_item, index) => `s${index}`),
+	);
+	t.deepEqual(
+		changes.filter(({removed}) => removed).map(({object}) => object.name),
+		['m', 'm', 'm'],
+	);
+	t.is(unreadable?.length, oddItems.length);
+});
+
 function kindOf(error: unknown): string | undefined {
 	return (error as {kind?: string} | undefined)?.kind;
 }
--- a/packages/platform/src/http-object-store.ts
+++ b/packages/platform/src/http-object-store.ts
@@ -1,8 +1,14 @@
 /** The platform's store over HTTP/1.1. No call is repeated here: whether that is safe is for its caller to say. */
 import {type Clock, type Millis} from '@kingcuproute/core';
-import {Left, Right, type Either} from 'purify-ts';
+import {Either, Left, Right} from 'purify-ts';
 import {Agent, request} from 'undici';
-import {parseChanges, parseObject, parsePage} from './object-bodies.js';
+import {
+	namelessObject,
+	nameOf,
+	parseChanges,
+	parseObject,
+	parsePage,
+} from './object-bodies.js';
 import {type ObjectError} from './object-error.js';
 import {
 	ObjectStore,
@@ -21,6 +27,7 @@
 /** A page holds about 500 objects: enough for 100,000 servers, and an end when `more` never ends. */
 const maxPages = 200;
 const messageLen = 200;
+const staleQuery = {staleOk: '1'};
 
 type Call = {
 	readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
@@ -52,31 +59,43 @@
 		stale = false,
 	): Promise<Either<ObjectError, ObjectListing>> {
 		const objects: StoredObject[] = [];
+		const unreadable = new Set<string>();
+		const passed = new Set<string>();
 		let revision: number | undefined;
-		let after = '';
-		for (let pages = 0; pages < maxPages; pages++) {
-			const query = {...(after && {after}), ...(stale && {staleOk: '1'})};
-			const page = await this.#call(
-				{method: 'GET', path: pathOf(kind, undefined, query)},
-				parsePage,
-			);
+		let path = pathOf(kind, undefined, stale ? staleQuery : {});
+		while (passed.size < maxPages) {
+			const page = await this.#call({method: 'GET', path}, parsePage);
 			if (page.isLeft()) {
 				return Left(page.extract());
 			}
 
 			const {items, more, storeRevision} = page.unsafeCoerce();
-			const held = items.map((item) => parseObject(item));
-			objects.push(...held.filter((object) => object !== undefined));
+			for (const item of items) {
+				const object = parseObject(item);
+				if (object) {
+					objects.push(object);
+				} else {
+					unreadable.add(nameOf(item) ?? namelessObject);
+				}
+			}
+
 			// Changes between two pages are reported by a watch from the first.
 			revision ??= storeRevision;
-			if (!more || held.length === 0) {
+			if (!more || items.length === 0) {
+				return Right({revision, objects, unreadable: [...unreadable]});
+			}
+
+			const after = items.map((item) => nameOf(item)).findLast(Boolean);
+			if (after === undefined || passed.has(after)) {
 				break;
 			}
 
-			after = parseObject(items.at(-1))?.name ?? after;
+			passed.add(after);
+			path = pathOf(kind, undefined, {after, ...(stale && staleQuery)});
 		}
 
-		return Right({revision: revision ?? 0, objects});
+		const message = `GET ${path}: no end after ${passed.size} pages`;
+		return Left({kind: 'unreadable', message});
 	}
 
 	override async watch(
@@ -155,7 +174,7 @@
 			});
 			const text = await res.body.text();
 			return res.statusCode < 300
-				? Right(read(text === '' ? undefined : JSON.parse(text)))
+				? readable(call, text, read)
 				: Left(refusal(call, res.statusCode, text));
 		} catch (error) {
 			const {message} = error as Error;
@@ -166,6 +185,19 @@
 	}
 }
 
+function readable<T>(
+	{method, path}: Call,
+	text: string,
+	read: (body: unknown) => T,
+): Either<ObjectError, T> {
+	return Either.encase(() =>
+		read(text === '' ? undefined : JSON.parse(text)),
+	).mapLeft(({message}) => ({
+		kind: 'unreadable',
+		message: `${method} ${path}: ${message.slice(0, messageLen)}`,
+	}));
+}
+
 function pathOf(
 	kind: string,
 	name?: string,
--- a/packages/platform/src/object-error.ts
+++ b/packages/platform/src/object-error.ts
@@ -9,7 +9,9 @@
 	| {readonly kind: 'expired'}
 	/** Nothing was done. */
 	| {readonly kind: 'refused'; readonly message: string}
-	/** No answer, or none that can be read: a write may still be carried out. */
+	/** An answer that cannot be read; a write was carried out, as far as its status tells. */
+	| {readonly kind: 'unreadable'; readonly message: string}
+	/** No answer: a write may still be carried out. */
 	| {readonly kind: 'unknown'; readonly message: string};
 
 /** How an error is shown in a log line. */
--- a/packages/platform/src/object-store.ts
+++ b/packages/platform/src/object-store.ts
@@ -23,11 +23,15 @@
 export type ObjectListing = {
 	readonly revision: number;
 	readonly objects: readonly StoredObject[];
+	/** Names of those that cannot be read, where there are any. */
+	readonly unreadable?: readonly string[];
 };
 
 export type ObjectChanges = {
 	readonly revision: number;
 	readonly changes: readonly ObjectChange[];
+	/** Names of those that cannot be read, where there are any. */
+	readonly unreadable?: readonly string[];
 };
 
 /** A change of an object; it happens only if the object is still at `revision`, or does not exist where that is undefined. */
