Follow a kind again once what cannot be read is gone

A daemon stopped following the backend servers for good once one change in the store's history could not be read: it kept those of that moment, and callers would have got 502 and 503 as these left.

Cause: a watch whose answer cannot be read was repeated from the same revision, where the store has the same change each time, also after the object is gone. And an error in taking objects in was an unhandled rejection, which ends the process.

Ruled out: losing what is held meanwhile; requests were answered throughout.

Change: after such an answer the follower lists, and goes on from there. What goes wrong in taking an answer in is told like a failed call. Objects that cannot be read are logged once, in one line for an answer.

--- a/packages/daemon/src/gateway/kind-follower.ts
+++ b/packages/daemon/src/gateway/kind-follower.ts
@@ -25,6 +25,8 @@
 /** Between two tries while the store does not answer; spread, since all daemons try. */
 const retryMs: Millis = 500;
 
+const maxNamesLogged = 10;
+
 export type Objects = ReadonlyMap<string, StoredObject>;
 
 export type FollowerMeans = {
@@ -43,6 +45,8 @@
 	#revision: number | undefined;
 	#isUp: boolean | undefined;
 	#stopped = false;
+	/** Names of objects that cannot be read, each logged once. */
+	#unreadable: ReadonlySet<string> = new Set();
 
 	constructor(
 		private readonly kind: string,
@@ -69,10 +73,7 @@
 				await this.#idle();
 			}
 
-			const error =
-				this.#revision === undefined || isSlow
-					? await this.#list(isSlow)
-					: await this.#watch(this.#revision);
+			const error = await this.#turn(isSlow);
 			this.#note(error);
 			if (error !== undefined) {
 				await this.means.clock.sleep(this.means.random.jitter(retryMs));
@@ -80,6 +81,18 @@
 		}
 	}
 
+	/** One call to the store; what goes wrong in taking its answer in is told like a failed call. */
+	async #turn(isSlow: boolean): Promise<string | undefined> {
+		try {
+			return this.#revision === undefined || isSlow
+				? await this.#list(isSlow)
+				: await this.#watch(this.#revision);
+		} catch (error) {
+			const {message, stack} = error as Error;
+			return `not taken in: ${stack ?? message}`;
+		}
+	}
+
 	/** Waits for the next slow list, or until news are wanted quickly again. */
 	async #idle(): Promise<void> {
 		const {clock, random} = this.means;
@@ -94,11 +107,14 @@
 		return fold(
 			listing,
 			(error): string | undefined => shownError(error),
-			({revision, objects}) => {
+			({revision, objects, unreadable = []}) => {
 				if (revision < (this.#revision ?? 0)) {
 					return undefined;
 				}
 
+				this.#noteUnreadable(unreadable);
+				this.#unreadable = new Set(unreadable);
+
 				this.#revision = revision;
 				this.objects.publish(
 					new Map(objects.map((object) => [object.name, object])),
@@ -114,15 +130,17 @@
 		return fold(
 			news,
 			(error): string | undefined => {
-				if (error.kind === 'expired') {
+				// What cannot be read stays in the history; a list may be free of it.
+				if (error.kind === 'expired' || error.kind === 'unreadable') {
 					this.#revision = undefined;
-					return undefined;
 				}
 
-				return shownError(error);
+				return error.kind === 'expired' ? undefined : shownError(error);
 			},
-			({revision, changes}) => {
+			({revision, changes, unreadable = []}) => {
 				this.#revision = Math.max(since, revision);
+				this.#noteUnreadable(unreadable);
+				this.#unreadable = new Set([...this.#unreadable, ...unreadable]);
 				if (changes.length > 0) {
 					const objects = new Map(this.objects.value);
 					for (const {object, removed} of changes) {
@@ -141,6 +159,18 @@
 		);
 	}
 
+	#noteUnreadable(names: readonly string[]): void {
+		const news = names.filter((name) => !this.#unreadable.has(name));
+		if (news.length > 0) {
+			const {kind} = this;
+			this.means.log.warn('objects-unreadable', {
+				kind,
+				count: news.length,
+				names: news.slice(0, maxNamesLogged).join(','),
+			});
+		}
+	}
+
 	#note(error: string | undefined): void {
 		if (error !== undefined) {
 			this.#lastFailureAt = this.means.clock.now();
--- a/packages/daemon/test/kind-follower.test.ts
+++ b/packages/daemon/test/kind-follower.test.ts
@@ -6,7 +6,9 @@
 	type StoredObject,
 } from '@kingcuproute/platform';
 import {Left, Right, type Either} from 'purify-ts';
+import {pino} from 'pino';
 import {KindFollower} from '../src/gateway/kind-follower.js';
+import {LineStream} from '../src/log/line-stream.js';
 import {Log} from '../src/log/log.js';
 import {Timers} from './timers.js';
 
@@ -21,6 +23,9 @@
 	failing = false;
 	/** Calls are taken and not answered. */
 	silent = false;
+	/** Answers to watches cannot be read. */
+	garbled = false;
+	unreadable: readonly string[] = [];
 
 	constructor(private readonly timers: Timers) {
 		super();
@@ -34,7 +39,11 @@
 		this.calls.push(stale ? 'stale list' : 'list');
 		return this.failing
 			? Left<ObjectError>({kind: 'refused', message: 'failing'})
-			: Right({revision: this.revision, objects: this.held});
+			: Right({
+					revision: this.revision,
+					objects: this.held,
+					unreadable: this.unreadable,
+				});
 	}
 
 	override async watch(_kind: string, revision: number, waitMs: number) {
@@ -45,6 +54,10 @@
 		}
 
 		await this.timers.sleep(waitMs);
+		if (this.garbled) {
+			return Left<ObjectError>({kind: 'unreadable', message: 'no JSON'});
+		}
+
 		const changes = this.held
 			.filter((object) => object.revision > revision)
 			.map((object) => ({object, removed: false}));
@@ -65,10 +78,12 @@
 function following() {
 	const clock = new Timers();
 	const store = new CountedStore(clock);
-	const log = Log.to({level: 'silent', routingSample: 1}, {});
+	const lines: string[] = [];
+	const stream = new LineStream((line) => lines.push(line));
+	const log = new Log(pino({base: {}}, stream));
 	const random = new SeededRandom(1);
 	const follower = new KindFollower('k', {store, clock, random, log});
-	return {clock, store, follower};
+	return {clock, store, follower, lines};
 }
 
 test('a kind that is followed slowly is listed now and then, and watched again when it is not', async (t) => {
@@ -123,3 +138,48 @@
 	t.is(follower.objects.value!.get('a')!.revision, 2);
 	follower.stop();
 });
+
+test('after news that cannot be read the kind is listed, and what is held stays until then', async (t) => {
+	const {clock, store, follower, lines} = following();
+	follower.start();
+	await clock.pass(1000);
+	store.garbled = true;
+	store.failing = true;
+	await clock.pass(20_000);
+	t.deepEqual([...follower.objects.value!.keys()], ['a']);
+	store.failing = false;
+	store.held = [stored('a', 1), stored('b', 2)];
+	await clock.pass(2000);
+	t.deepEqual([...follower.objects.value!.keys()], ['a', 'b']);
+	t.is(lines.filter((line) => line.includes('event=store-lost')).length, 1);
+	follower.stop();
+});
+
+test('an object that cannot be read is logged once', async (t) => {
+	const {clock, store, follower, lines} = following();
+	store.unreadable = ['odd'];
+	follower.slow = true;
+	follower.start();
+	await clock.pass(30_000);
+	const told = lines.filter((line) => line.includes('objects-unreadable'));
+	t.is(told.length, 1);
+	t.regex(told[0], /count=1 names=odd/);
+	follower.stop();
+});
+
+test('a reader of the objects that fails does not end the following', async (t) => {
+	const {clock, store, follower, lines} = following();
+	const unsubscribe = follower.objects.subscribe(() => {
+		throw new Error('not meant for this');
+	});
+	follower.start();
+	await clock.pass(10_000);
+	unsubscribe();
+	store.held = [stored('a', 1), stored('b', 2)];
+	await clock.pass(10_000);
+	t.deepEqual([...follower.objects.value!.keys()], ['a', 'b']);
+	const lost = lines.filter((line) => line.includes('event=store-lost'));
+	t.is(lost.length, 1);
+	t.regex(lost[0], /not meant for this/);
+	follower.stop();
+});
--- a/packages/fakes/test/gateway-site.ts
+++ b/packages/fakes/test/gateway-site.ts
@@ -172,6 +172,11 @@
 		return this.#daemon!.lines;
 	}
 
+	/** The first line, past or future, that holds `text`. */
+	async line(text: string): Promise<string> {
+		return this.#daemon!.line(text);
+	}
+
 	/** Tells the daemon that its settings file has changed; resolves with the line that it logs then. */
 	async hangUp(event: string): Promise<string> {
 		process.kill(this.#daemon!.pid, 'SIGHUP');
--- a/packages/fakes/test/odd-entries.test.ts
+++ b/packages/fakes/test/odd-entries.test.ts
@@ -111,3 +111,34 @@
 		[],
 	);
 });
+
+test('a list that is no JSON is kept out, told of once, and followed again once the object is gone', async (t) => {
+	const made = site(t);
+	await made.add('i-1', 'plain', answer);
+	await made.add('k-1', 'keyed', answer);
+	await made.start();
+	made.store.putText('servers', 'odd', () => '{"metadata"');
+	await made.line('event=store-lost');
+	t.is(await made.status('/book/x', {}, 'b'), 200);
+	made.store.remove('servers', 'odd');
+	await serves(made);
+	const lost = made.log().filter((line) => line.includes('event=store-lost'));
+	t.is(lost.length, 1);
+});
+
+test('an object that cannot be read is passed over and told of once, in a list and among changes', async (t) => {
+	const made = site(t);
+	await made.add('i-1', 'plain', answer);
+	await made.add('k-1', 'keyed', answer);
+	made.store.pageLen = 10;
+	made.store.putText('servers', 'a-0', () => '7');
+	made.store.putText('servers', 'a-1', () => 'null');
+	await made.start();
+	made.store.putText('servers', 'z', () => '{"metadata":{"name":"z"}}');
+	await serves(made);
+	const told = made.log().filter((line) => line.includes('objects-unreadable'));
+	t.deepEqual(
+		told.map((line) => /names=(\S+)/.exec(line)?.[1]),
+		['?', 'z'],
+	);
+});
