Bound the values in log lines

One object's name or field of a megabyte stood whole in a log line: 1,000,152 characters for servers/x, 300,151 for a long id in service, the like for an evacuated domain, at each start and change.

Cause: nothing bounded a value in a line, and the recorder kept it too.

Evidence, before the change: log: "a line stays bounded, however long the values are that others have written": Value is not `true` (a scratch run per object gave the lengths)

Ruled out: faults' own messages, bounded since checked() shows a part.

Change: a value in a line has 2,000 characters at most, which holds a stack.

--- a/packages/daemon/src/log/log.ts
+++ b/packages/daemon/src/log/log.ts
@@ -9,6 +9,8 @@
 const flushMs = 100;
 /** What waits for a slow reader, in bytes; lines beyond it are dropped. */
 const maxWaitingLen = 4_194_304;
+/** Of one value: a stack fits, and what others have written is cut. */
+const maxValueLen = 2000;
 
 /** Levels, least first. */
 export const levels = ['debug', 'info', 'warn', 'error', 'silent'] as const;
@@ -67,33 +69,52 @@
 
 	/** A routing decision: every one is kept, one in `routingSample` is written. */
 	routing(event: string, fields: Fields): void {
-		this.recorder?.(event, fields);
+		const shown = bounded(fields);
+		this.recorder?.(event, shown);
 		this.#routings++;
 		if (this.#routings % this.routingSample === 0) {
-			this.logger.info({event, ...fields});
+			this.logger.info({event, ...shown});
 		}
 	}
 
 	debug(event: string, fields: Fields = {}): void {
-		this.logger.debug({event, ...fields});
+		this.logger.debug({event, ...bounded(fields)});
 		this.logger.flush();
 	}
 
 	info(event: string, fields: Fields = {}): void {
-		this.recorder?.(event, fields);
-		this.logger.info({event, ...fields});
+		const shown = bounded(fields);
+		this.recorder?.(event, shown);
+		this.logger.info({event, ...shown});
 		this.logger.flush();
 	}
 
 	warn(event: string, fields: Fields = {}): void {
-		this.recorder?.(event, fields);
-		this.logger.warn({event, ...fields});
+		const shown = bounded(fields);
+		this.recorder?.(event, shown);
+		this.logger.warn({event, ...shown});
 		this.logger.flush();
 	}
 
 	error(event: string, fields: Fields = {}): void {
-		this.recorder?.(event, fields);
-		this.logger.error({event, ...fields});
+		const shown = bounded(fields);
+		this.recorder?.(event, shown);
+		this.logger.error({event, ...shown});
 		this.logger.flush();
 	}
 }
+
+function bounded(fields: Fields): Fields {
+	return Object.values(fields).some((value) => isLong(value))
+		? Object.fromEntries(
+				Object.entries(fields).map(([name, value]) => [
+					name,
+					isLong(value) ? `${value.slice(0, maxValueLen)}…` : value,
+				]),
+			)
+		: fields;
+}
+
+function isLong(value: Fields[string]): value is string {
+	return typeof value === 'string' && value.length > maxValueLen;
+}
--- a/packages/daemon/test/log.test.ts
+++ b/packages/daemon/test/log.test.ts
@@ -52,3 +52,19 @@
 function unquote(value: string): string {
 	return value.startsWith('"') ? (JSON.parse(value) as string) : value;
 }
+
+test('a line stays bounded, however long the values are that others have written', (t) => {
+	const lines: string[] = [];
+	const recorded: number[] = [];
+	const log = new Log(
+		pino({base: {}}, new LineStream((line) => lines.push(line))),
+		(_event, {name}) => recorded.push(String(name).length),
+	);
+	const name = 'x'.repeat(1_000_000);
+	log.warn('object-unreadable', {name, revision: 7});
+	log.routing('request-sent', {name});
+	t.is(lines.length, 2);
+	t.true(lines.every(({length}) => length < 2500));
+	t.regex(lines[0], /name=x+… revision=7/);
+	t.true(recorded.every((len) => len < 2500));
+});
