Take key tables only whole and by their own name, and bound what else is read

Cause: tables were told apart by the service that they name and not by their object; one with gaps, overlaps or fences beyond exact numbers was searched like a sound one. Of the other kinds: every object counted as a daemon, and took a part of the servers' connections and of the watch over keepers; rates of 1e308 in key traffic add up to Infinity; and a configuration of version r999… (400 digits) would have been the newest for ever.

Ruled out: evacuations, which count by their name alone, as they should.

Change: each document's reader refuses what its user cannot use.

--- a/packages/daemon/src/gateway/view-task.ts
+++ b/packages/daemon/src/gateway/view-task.ts
@@ -16,6 +16,7 @@
 	configName,
 	daemonsKind,
 	evacuationsKind,
+	parseDaemon,
 	parseListedServer,
 	parseRangeTable,
 	parseRoutingConfig,
@@ -95,15 +96,15 @@
 			this.#evacuate(new Set(objects?.keys()));
 		});
 		rangeTables.objects.subscribe((objects) => {
-			const tables = this.#read(rangeTablesKind, objects, ({spec}) =>
-				parseRangeTable(spec),
+			const tables = this.#read(rangeTablesKind, objects, ({name, spec}) =>
+				parseRangeTable(spec).map((table) => [name, table] as const),
 			);
-			this.#set({
-				rangeTables: new Map(tables.map((table) => [table.service, table])),
-			});
+			this.#set({rangeTables: new Map(tables)});
 		});
 		daemons.objects.subscribe((objects) => {
-			const daemonNames = [...(objects?.keys() ?? [])].sort();
+			const daemonNames = this.#read(daemonsKind, objects, ({name, spec}) =>
+				parseDaemon(spec).map(() => name),
+			).sort();
 			this.#set({daemons: Math.max(1, daemonNames.length), daemonNames});
 		});
 	}
--- a/packages/fakes/test/odd-entries.test.ts
+++ b/packages/fakes/test/odd-entries.test.ts
@@ -142,3 +142,19 @@
 		['?', 'z'],
 	);
 });
+
+test("a table or a registration of another writer changes nobody's keys and nobody's part", async (t) => {
+	const made = site(t);
+	await made.add('k-1', 'keyed', answer);
+	await made.start();
+	const ask = async (key: number) =>
+		made.status('/clock/', {'x-kingcuproute-shard-key': String(key)});
+	await until(async () => (await ask(0)) === 200);
+	const ranges = [[0, 65_535, 'nobody', 1, 9]];
+	const table = {service: 'keyed', nextFence: 10, ranges};
+	made.store.put('kingcuproute-range-tables', 'other', table);
+	made.store.put('kingcuproute-daemons', 'a-other', 7);
+	await made.line('object=kingcuproute-daemons/a-other');
+	t.is(await ask(0), 200);
+	t.is(await ask(65_535), 200);
+});
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -32,6 +32,7 @@
 	keepersKind,
 	rangeTablesKind,
 	rangeTableSpec,
+	parseDaemon,
 	parseKeeper,
 	parseRangeTable,
 	type Keeper,
--- a/packages/platform/src/key-traffic-document.ts
+++ b/packages/platform/src/key-traffic-document.ts
@@ -9,7 +9,12 @@
 
 export const keyTrafficKind = 'kingcuproute-key-traffic';
 
-const rate = z.number().nonnegative();
+/** Beyond what any site sees, and small enough that sums of them stay figures. */
+const maxRate = 1e9;
+const maxRunMs = 1e9;
+
+const rate = z.number().nonnegative().max(maxRate);
+const runMs = z.number().nonnegative().max(maxRunMs);
 const traffic = z.object({
 	services: z.array(
 		z.object({
@@ -17,7 +22,7 @@
 			/** Columns: key, requests a second. */
 			rates: z.array(z.tuple([z.number().int().min(0).max(maxKey), rate])),
 			/** Columns: server, how long a request runs there in ms. */
-			runs: z.array(z.tuple([z.string(), rate])),
+			runs: z.array(z.tuple([z.string(), runMs])),
 		}),
 	),
 });
--- a/packages/platform/src/range-table-document.ts
+++ b/packages/platform/src/range-table-document.ts
@@ -12,20 +12,40 @@
 /** Each daemon has an object here while it serves. */
 export const daemonsKind = 'kingcuproute-daemons';
 
+/** Half of the whole numbers that are exact: there is always a next one. */
+const maxFence = 2 ** 52;
+
 const key = z.number().int().min(0).max(maxKey);
+const fence = z.number().int().positive().max(maxFence);
+const range = z.tuple([key, key, z.string(), z.number(), fence]);
 const table = z.object({
 	service: z.string(),
-	nextFence: z.number().int().positive(),
+	nextFence: fence,
 	/** Columns: from, to, owner, the owner's start, fence. */
-	ranges: z.array(
-		z.tuple([key, key, z.string(), z.number(), z.number().int().positive()]),
-	),
+	ranges: z
+		.array(range)
+		.max(maxKey + 1)
+		.refine(isWhole, 'expected every key once, in order, or none'),
 });
 const keeper = z.object({vm: z.string(), beat: z.number().int()});
+const daemon = z.object({failureDomain: z.string()});
 
 /** Who keeps a service's key table; `vm` is empty once a keeper has stood down. */
 export type Keeper = z.infer<typeof keeper>;
 
+function isWhole(ranges: ReadonlyArray<z.infer<typeof range>>): boolean {
+	let next = 0;
+	for (const [from, to] of ranges) {
+		if (from !== next || to < from) {
+			return false;
+		}
+
+		next = to + 1;
+	}
+
+	return next === 0 || next === maxKey + 1;
+}
+
 export function parseRangeTable(spec: unknown): Checked<RangeTable> {
 	return checked(table, spec).map(({ranges, ...rest}) => ({
 		...rest,
@@ -57,6 +77,11 @@
 	};
 }
 
+/** What a daemon says of itself where it has registered. */
+export function parseDaemon(spec: unknown): Checked<z.infer<typeof daemon>> {
+	return checked(daemon, spec);
+}
+
 export function parseKeeper(spec: unknown): Checked<Keeper> {
 	return checked(keeper, spec);
 }
--- a/packages/platform/src/routing-document.ts
+++ b/packages/platform/src/routing-document.ts
@@ -41,7 +41,8 @@
 });
 
 const service = z.object({
-	name: z.string(),
+	/** A part of paths. */
+	name: z.string().regex(/^\P{Cs}+$/u, 'expected well-formed Unicode'),
 	healthPath: z.string().startsWith('/'),
 	maxConns: z.number().int().positive(),
 	warmupS: z.number().nonnegative().optional(),
@@ -50,7 +51,13 @@
 });
 
 const config = z.object({
-	version: z.string().regex(/^r\d+$/, 'expected r and a number'),
+	version: z
+		.string()
+		.regex(/^r\d+$/, 'expected r and a number')
+		.refine(
+			(text) => Number.isSafeInteger(Number(text.slice(1))),
+			'expected a number that can be told from the next one',
+		),
 	routes: columnar,
 	services: columnar,
 	limits: z.object({
--- a/packages/platform/test/decoding.test.ts
+++ b/packages/platform/test/decoding.test.ts
@@ -308,6 +308,41 @@
 	return {...value, [key]: spoilt(inner, rest, by)};
 }
 
+test('a range table holds every key once and in order, or none', (t) => {
+	const parsed = (ranges: unknown, nextFence = 3) =>
+		parseRangeTable({service: 's', nextFence, ranges});
+	const halves = [
+		[0, 9, 'i-1', 12, 1],
+		[10, 65_535, 'i-2', 12, 2],
+	];
+	t.true(parsed(halves).isRight());
+	t.true(parsed([]).isRight());
+	for (const odd of [
+		halves.toReversed(),
+		halves.slice(1),
+		halves.slice(0, 1),
+		[...halves, ...halves],
+		[[10, 9, 'i-1', 12, 1], ...halves],
+		Array.from({length: 200_000}, () => halves[0]),
+	]) {
+		t.true(parsed(odd).isLeft());
+	}
+
+	t.true(parsed(halves, Number.MAX_SAFE_INTEGER).isLeft());
+});
+
+test('a version or a service name that cannot be used is a fault of the configuration', (t) => {
+	const long = `r${'9'.repeat(400)}`;
+	for (const version of [long, 'r9007199254740993']) {
+		t.true(parseRoutingConfig({...routingDocument, version}).isLeft());
+	}
+
+	const {services} = routingDocument;
+	const rows = services.rows.with(0, services.rows[0].with(0, '\uD800'));
+	const odd = {...routingDocument, services: {...services, rows}};
+	t.true(parseRoutingConfig(odd).isLeft());
+});
+
 test('spoilt messages are faults or values, never a crash', (t) => {
 	const path = fc.array(fc.nat(20), {minLength: 1, maxLength: 5});
 	const by = fc.oneof(
@@ -355,6 +390,8 @@
 		{},
 		{services: [{service: 's', rates: [[65_536, 1]], runs: []}]},
 		{services: [{service: 's', rates: [[1, -1]], runs: []}]},
+		{services: [{service: 's', rates: [[1, 1e308]], runs: []}]},
+		{services: [{service: 's', rates: [], runs: [['i-1', 1e308]]}]},
 	]) {
 		t.true(parseKeyTraffic(wrong).isLeft(), `${JSON.stringify(wrong)}`);
 	}
