Believe no earlier answer of an order about keys for a later one

What callers would see: two servers that hold the same keys (OWNER), keys given on while their holder still works on them, or a server that lives taken for ended, so that its keys go unserved.

Cause: orders go over kept connections, and their answers bear no id. An earlier 200, 409 or 421 that a faulty server writes once more was believed of the next order: a 200 freed keys, a 421 ended the server, a 409 struck a grant that the server takes from the ledger.

Change: an answer other than 200 ends its connection. A release is believed by a handover that no earlier answer over a shared connection had; otherwise it is asked once more over a connection of its own.

Not closed: a grant may be believed taken by an earlier grant's 200 while the server holds it back. It harms where the server then carries it out after the keys were released, two faults of one server at once.

--- a/packages/platform/src/key-orders.ts
+++ b/packages/platform/src/key-orders.ts
@@ -1,6 +1,13 @@
-/** Orders to backend servers about the keys that they hold. */
+/**
+ * Orders to backend servers about the keys that they hold. Answers to orders bear no
+ * id, and a faulty server may write an earlier one once more. A new connection for each
+ * order would have to wait for a slot of a server that is full, so connections are
+ * shared, but end with a refusal; and a release is believed by a handover that no
+ * earlier answer had, else asked again over a connection of its own.
+ */
 import {type Clock, type ListedServer, type Millis} from '@kingcuproute/core';
-import {Agent, request} from 'undici';
+import {Agent} from 'undici';
+import {OrderAnswer, type AnsweredOrder} from './order-answer.js';
 import {answerFields, requestFields} from './request-fields.js';
 
 /** Keys, both ends inclusive, and the fence under which they are given or taken. */
@@ -26,6 +33,10 @@
 	/** Another server is at the address: the one meant has ended. */
 	| {readonly kind: 'ended'};
 
+/** Orders have time limits of their own. */
+const unbounded = {headersTimeout: 0, bodyTimeout: 0};
+/** An hour of releases at three a second. */
+const maxHandovers = 10_000;
 const okStatus = 200;
 const conflictStatus = 409;
 const misdirectedStatus = 421;
@@ -47,8 +58,19 @@
 	): Promise<OrderEnd>;
 }
 
+type OrderCall = {
+	readonly server: Addressee;
+	readonly order: 'grant' | 'release';
+	readonly body: unknown;
+	readonly timeoutMs: Millis;
+};
+
 export class HttpKeyOrders extends KeyOrders {
-	readonly #agent = new Agent({headersTimeout: 0, bodyTimeout: 0});
+	readonly #shared = new Agent(unbounded);
+	/** Without pipelining no connection is kept. */
+	readonly #single = new Agent({...unbounded, pipelining: 0});
+	/** Handovers that came over shared connections, oldest first. */
+	readonly #handovers = new Set<string>();
 
 	constructor(private readonly clock: Clock) {
 		super();
@@ -60,7 +82,7 @@
 		timeoutMs: Millis,
 	): Promise<OrderEnd> {
 		const body = {from, target: to, fence, holdMs: leaseMs, handover};
-		return this.#order(server, 'grant', body, timeoutMs);
+		return this.#order(this.#shared, {server, order: 'grant', body, timeoutMs});
 	}
 
 	override async release(
@@ -69,56 +91,42 @@
 		timeoutMs: Millis,
 	): Promise<OrderEnd> {
 		const body = {from, target: to, fence};
-		return this.#order(server, 'release', body, timeoutMs);
+		const call: OrderCall = {server, order: 'release', body, timeoutMs};
+		const end = await this.#order(this.#shared, call);
+		return end.kind !== 'taken' || this.#isNew(end.handover)
+			? end
+			: this.#order(this.#single, call);
 	}
 
 	/** Ends its connections, so that the process can end. */
 	async close(): Promise<void> {
-		await this.#agent.destroy();
+		await Promise.all([this.#shared.destroy(), this.#single.destroy()]);
 	}
 
 	async #order(
-		{backendServer, address}: Addressee,
-		order: 'grant' | 'release',
-		body: unknown,
-		timeoutMs: Millis,
+		agent: Agent,
+		{server, order, body, timeoutMs}: OrderCall,
 	): Promise<OrderEnd> {
-		const abort = new AbortController();
+		const {backendServer, address} = server;
+		const answer = new OrderAnswer();
 		const cancel = this.clock.after(timeoutMs, () => {
-			abort.abort(new Error(`no answer in ${timeoutMs} ms`));
+			answer.giveUp(new Error(`no answer in ${timeoutMs} ms`));
 		});
-		try {
-			const url = `http://${address}/kingcuproute/${order}`;
-			const res = await request(url, {
+		agent.dispatch(
+			{
+				origin: `http://${address}`,
+				path: `/kingcuproute/${order}`,
 				method: 'POST',
 				headers: {
 					'content-type': 'application/json',
 					[requestFields.expectedServer]: backendServer,
 				},
 				body: JSON.stringify(body),
-				signal: abort.signal,
-				dispatcher: this.#agent,
-			});
-			await res.body.dump();
-			const handover = res.headers[answerFields.handover];
-			switch (res.statusCode) {
-				case okStatus: {
-					const mark = typeof handover === 'string' ? handover : undefined;
-					return {kind: 'taken', handover: mark};
-				}
-
-				case misdirectedStatus: {
-					return {kind: 'ended'};
-				}
-
-				case conflictStatus: {
-					return {kind: 'outdated'};
-				}
-
-				default: {
-					return {kind: 'unknown', message: `status ${res.statusCode}`};
-				}
-			}
+			},
+			answer,
+		);
+		try {
+			return endOf(await answer.ended);
 		} catch (error) {
 			// A refused connection tells of the path as much as of the server.
 			return {kind: 'unknown', message: (error as Error).message};
@@ -126,4 +134,41 @@
 			cancel();
 		}
 	}
+
+	/** Notes the handover, and tells whether no earlier answer had it. */
+	#isNew(handover: string | undefined): boolean {
+		if (handover === undefined || this.#handovers.has(handover)) {
+			return false;
+		}
+
+		this.#handovers.add(handover);
+		if (this.#handovers.size > maxHandovers) {
+			const [oldest] = this.#handovers;
+			this.#handovers.delete(oldest);
+		}
+
+		return true;
+	}
+}
+
+function endOf({status, headers}: AnsweredOrder): OrderEnd {
+	switch (status) {
+		case okStatus: {
+			const handover = headers[answerFields.handover];
+			const mark = typeof handover === 'string' ? handover : undefined;
+			return {kind: 'taken', handover: mark};
+		}
+
+		case misdirectedStatus: {
+			return {kind: 'ended'};
+		}
+
+		case conflictStatus: {
+			return {kind: 'outdated'};
+		}
+
+		default: {
+			return {kind: 'unknown', message: `status ${status}`};
+		}
+	}
 }
--- a/packages/platform/test/key-orders.test.ts
+++ b/packages/platform/test/key-orders.test.ts
@@ -1,11 +1,14 @@
 import {once} from 'node:events';
-import {createServer, type AddressInfo} from 'node:net';
-import test from 'ava';
-import {HttpKeyOrders} from '../src/key-orders.js';
+import {createServer, type AddressInfo, type Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import test, {type ExecutionContext} from 'ava';
+import {HttpKeyOrders, type OrderEnd} from '../src/key-orders.js';
 import {SystemClock} from '../src/system-clock.js';
 
 const timeoutMs = 800;
 const order = {from: 1, to: 9, fence: 3};
+/** Between two orders, so that the second finds the connection of the first idle. */
+const idleMs = 50;
 
 /** An address of this machine at which nothing listens. */
 async function refusingAddress(): Promise<string> {
@@ -27,3 +30,86 @@
 	t.is(released.kind, 'unknown');
 	await orders.close();
 });
+
+type Status = 200 | 409 | 421;
+
+function answerOf(status: Status, handover?: string): string {
+	return [
+		`HTTP/1.1 ${status} Answer`,
+		...(handover ? [`x-kingcuproute-handover: ${handover}`] : []),
+		'content-length: 0',
+		'\r\n',
+	].join('\r\n');
+}
+
+/**
+ * A server that answers its first order at once. At the second it writes that answer
+ * once more where it wrote it first, and the second's own answer a little later.
+ */
+async function repeatingAddress(
+	t: ExecutionContext,
+	first: Status,
+): Promise<string> {
+	const workMs = 100;
+	let answered: Socket | undefined;
+	let earlier = '';
+	const server = createServer((socket) => {
+		socket.on('error', () => undefined);
+		socket.on('data', (bytes) => {
+			if (!String(bytes).endsWith('}')) {
+				return;
+			}
+
+			if (!answered) {
+				answered = socket;
+				const isRelease = String(bytes).includes('/release ');
+				earlier = answerOf(first, isRelease ? 'first' : undefined);
+				socket.write(earlier);
+				return;
+			}
+
+			if (answered.writable) {
+				answered.write(earlier);
+			}
+
+			setTimeout(() => {
+				socket.write(answerOf(200, 'second'));
+			}, workMs);
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	t.teardown(() => {
+		server.close();
+	});
+	const {port} = server.address() as AddressInfo;
+	return `127.0.0.1:${port}`;
+}
+
+const grantOrder = {...order, leaseMs: 5000};
+const taken: OrderEnd = {kind: 'taken', handover: 'second'};
+
+for (const status of [409, 421] as const) {
+	test(`a ${status} that is written once more is not believed of the next grant`, async (t) => {
+		const address = await repeatingAddress(t, status);
+		const orders = new HttpKeyOrders(new SystemClock());
+		t.teardown(async () => orders.close());
+		const former = {backendServer: 'a', address};
+		await orders.grant(former, grantOrder, timeoutMs);
+		await sleep(idleMs);
+		const server = {backendServer: 'b', address};
+		t.deepEqual(await orders.grant(server, grantOrder, timeoutMs), taken);
+	});
+}
+
+for (const earlier of ['grant', 'release'] as const) {
+	test(`keys whose holder works on are not free by the answer to an earlier ${earlier} that is written once more`, async (t) => {
+		const address = await repeatingAddress(t, 200);
+		const orders = new HttpKeyOrders(new SystemClock());
+		t.teardown(async () => orders.close());
+		const server = {backendServer: 'a', address};
+		await orders[earlier](server, grantOrder, timeoutMs);
+		await sleep(idleMs);
+		t.deepEqual(await orders.release(server, order, timeoutMs), taken);
+	});
+}
