--- a/spec/check.sh
+++ b/spec/check.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Checks ownership.pml and unfenced.pml, four searches at a time: one owner,
-# exhaustively, with each source of events; wrong variants must fail; a lost slice
-# is owned again once failures stop.
+# Checks all models here, four searches at a time: one owner or holder, exhaustively,
+# with each source of events; wrong variants must fail; a lost slice is owned again
+# once failures stop.
 set -euo pipefail
 cd "$(dirname "$0")"
 folder=$(mktemp -d)
@@ -49,6 +49,9 @@
 for feature in REPLACES HANDOVERS NONE; do
 	check 0 "safe-unfenced-$feature" unfenced -DSAFETY '' "-D$feature"
 done
+check 0 safe-keeper keeper -DSAFETY '' -DMAXFENCE=6
+check 0 safe-keeper-LONGER keeper -DSAFETY '' -DMAXFENCE=5 -DLEASE=2
+check 0 safe-keeper-lease keeper-lease -DSAFETY ''
 
 for wrong in MARGIN=0 NOFENCE LATE NOCONSENT OWNENDS NOINC RANKGRANTS KEEPS; do
 	feature=RESTART
@@ -61,6 +64,12 @@
 	[ "$wrong" = ORDERSON ] && feature=HANDOVERS
 	check 1 "wrong-unfenced-${wrong%=0}" unfenced -DSAFETY '' "-D$wrong" "-D$feature"
 done
+for wrong in MARGIN=0 NOFENCE UNKNOWN REFUSED TRUSTS NOLAPSE UNWRITTEN FORGETS; do
+	check 1 "wrong-keeper-${wrong%=0}" keeper -DSAFETY '' "-D$wrong"
+done
+for wrong in MARGIN=0 LANDED BLIND KEEPS; do
+	check 1 "wrong-keeper-lease-${wrong%=0}" keeper-lease -DSAFETY '' "-D$wrong"
+done
 
 for lost in LOST_S LOST_G 'LOST_S -DLOST_G'; do
 	check 0 "live-${lost// -D/-}" ownership -DNFAIR=3 '-a -f' -DLIVE -DMAXT=8 $(echo "-D$lost")
