Restore a key table or a keeper's lease that another writer spoilt

Once the keeper's lease was removed, no daemon could take it again: beats failed for good, and the leases on keys would have run out.

Cause: routing dropped a table that it could not read. The keeper kept its table, but wrote at a revision that was not the object's any more, each time. The lease and the reports of key traffic did the same where the object was missing.

Evidence, before the change: odd-entries: "a key table that is overwritten by another writer serves on, and changes hands again", and the same for "removed": - 503 + 200 "a keeper whose lease another writer removed takes it again before it ends": Value is not `false`: true (keeper-lost-lease)

Ruled out: an overwritten lease, which is taken again after its time; report objects overwritten, whose writer takes the revision from the conflict.

Change: routing keeps the last table of a service; the keeper in force writes its table again over what cannot be read; what is missing is created anew. A daemon that knows no table leaves one alone that it cannot read.

--- a/packages/daemon/src/gateway/keeper-lease.ts
+++ b/packages/daemon/src/gateway/keeper-lease.ts
@@ -131,6 +131,8 @@
 				});
 				if (error.kind === 'conflict') {
 					this.heard(error.held);
+				} else if (error.kind === 'missing') {
+					this.#held = undefined;
 				}
 			},
 			(object) => {
--- a/packages/daemon/src/gateway/kept-table.ts
+++ b/packages/daemon/src/gateway/kept-table.ts
@@ -17,6 +17,8 @@
 };
 
 export class KeptTable {
+	/** Whether it was written under the lease now held: no older write can land after that. */
+	isInForce = false;
 	#object: StoredObject | undefined;
 	#table: RangeTable;
 	#isWriting = false;
@@ -39,10 +41,20 @@
 			return;
 		}
 
-		parseRangeTable(object?.spec).ifRight((table) => {
-			this.#object = object;
-			this.#table = table;
-		});
+		fold(
+			parseRangeTable(object?.spec),
+			() => {
+				// Only the keeper knows for sure what stood there: it writes its table again.
+				if (this.isInForce) {
+					this.#object = object;
+					this.isInForce = false;
+				}
+			},
+			(table) => {
+				this.#object = object;
+				this.#table = table;
+			},
+		);
 	}
 
 	/** Replaces the table in the store; false when that failed or may have failed. */
@@ -62,6 +74,8 @@
 				log.warn('table-not-written', {service, error: shownError(error)});
 				if (error.kind === 'conflict') {
 					this.heard(error.held);
+				} else if (error.kind === 'missing') {
+					this.#object = undefined;
 				}
 
 				return false;
--- a/packages/daemon/src/gateway/key-keeper.ts
+++ b/packages/daemon/src/gateway/key-keeper.ts
@@ -38,8 +38,6 @@
 	readonly #planner: KeyPlanner;
 	readonly #moving = new Set<KeyMove>();
 	#released: Released[] = [];
-	/** Whether the table was written under the lease now held: no older write can land after that. */
-	#inForce = false;
 	#tenure = 0;
 	#wasKeeper = false;
 	#cancel: (() => void) | undefined;
@@ -71,7 +69,7 @@
 		await lease.tend();
 		if (lease.tenure !== this.#tenure) {
 			this.#tenure = lease.tenure;
-			this.#inForce = false;
+			this.#table.isInForce = false;
 			this.#moving.clear();
 			this.#released = [];
 		}
@@ -81,7 +79,7 @@
 			return;
 		}
 
-		if (this.#inForce) {
+		if (this.#table.isInForce) {
 			this.#renew();
 			this.#plan();
 			await this.#write();
@@ -115,7 +113,7 @@
 			return;
 		}
 
-		this.#inForce = true;
+		this.#table.isInForce = true;
 		this.#grants.assumeSent(ranges);
 		log.info('keeper-took-over', {
 			service,
--- a/packages/daemon/src/gateway/traffic-task.ts
+++ b/packages/daemon/src/gateway/traffic-task.ts
@@ -99,6 +99,8 @@
 				this.log.info('traffic-not-reported', {error: shownError(error)});
 				if (error.kind === 'conflict') {
 					this.#revision = error.held?.revision;
+				} else if (error.kind === 'missing') {
+					this.#revision = undefined;
 				}
 			},
 			({revision}) => {
--- a/packages/daemon/src/gateway/view-task.ts
+++ b/packages/daemon/src/gateway/view-task.ts
@@ -99,7 +99,9 @@
 			const tables = this.#read(rangeTablesKind, objects, ({name, spec}) =>
 				parseRangeTable(spec).map((table) => [name, table] as const),
 			);
-			this.#set({rangeTables: new Map(tables)});
+			// A service whose table another writer spoilt keeps the last one.
+			const {rangeTables: known} = this.view.value;
+			this.#set({rangeTables: new Map([...known, ...tables])});
 		});
 		daemons.objects.subscribe((objects) => {
 			const daemonNames = this.#read(daemonsKind, objects, ({name, spec}) =>
--- a/packages/fakes/test/odd-entries.test.ts
+++ b/packages/fakes/test/odd-entries.test.ts
@@ -1,8 +1,11 @@
 /** Objects in the platform's store that another writer has left, beside sound ones. */
+import {setTimeout as pause} from 'node:timers/promises';
 import test from 'ava';
 import {answer, site, type Site} from './gateway-site.js';
 import {until} from './requests-fixture.js';
 
+const tablesKind = 'kingcuproute-range-tables';
+
 /** Deeper than JSON can be written by recursion. */
 const depth = 100_000;
 const nested = `${'['.repeat(depth)}${']'.repeat(depth)}`;
@@ -158,3 +161,52 @@
 	t.is(await ask(0), 200);
 	t.is(await ask(65_535), 200);
 });
+
+/** Longer than the store takes to tell of a change. */
+const newsMs = 500;
+/** Longer than a keeper's lease, from its last beat. */
+const leaseMs = 5000;
+
+for (const [harm, act] of [
+	[
+		'overwritten',
+		(made: Site) => {
+			made.store.put(tablesKind, 'keyed', 7);
+		},
+	],
+	['removed', (made: Site) => made.store.remove(tablesKind, 'keyed')],
+] as const) {
+	test(`a key table that is ${harm} by another writer serves on, and changes hands again`, async (t) => {
+		const made = site(t);
+		await made.add('k-1', 'keyed', answer);
+		await made.start();
+		const ask = async (key: number) =>
+			made.status('/clock/', {'x-kingcuproute-shard-key': String(key)});
+		await until(async () => (await ask(0)) === 200);
+		act(made);
+		await pause(newsMs);
+		t.is(await ask(0), 200);
+		let isSecond = false;
+		await made.add('k-2', 'keyed', (req, res, body) => {
+			isSecond = true;
+			answer(req, res, body);
+		});
+		await until(async () => {
+			const statuses = [await ask(0), await ask(65_535)];
+			return isSecond && statuses.every((status) => status === 200);
+		});
+	});
+}
+
+test('a keeper whose lease another writer removed takes it again before it ends', async (t) => {
+	const made = site(t);
+	await made.add('k-1', 'keyed', answer);
+	await made.start();
+	await made.line('event=keeper-took-over');
+	made.store.remove('kingcuproute-keepers', 'keyed');
+	await made.line('event=beat-failed');
+	await pause(leaseMs);
+	const lines = made.log();
+	t.false(lines.some((line) => line.includes('event=keeper-lost-lease')));
+	t.is(lines.filter((line) => line.includes('event=beat-failed')).length, 1);
+});
