Hear of close changes of backend servers with one call

Change: after an answer with news of servers a daemon waits for 500 ms before its next call, which brings all changes since; a keeper of keys, which acts on them, does not. Leaving servers have to be heard of within 2 s.

Ruled out: gathering range tables, whose changes come about once a second; a longer long poll, by which a connection that fell silent is noticed.

Test: kind-follower.test.ts, "changes that come close together cost few calls, and none is late by more than the time to gather them".

--- a/packages/daemon/src/gateway/keepers-task.ts
+++ b/packages/daemon/src/gateway/keepers-task.ts
@@ -86,7 +86,9 @@
 	/** Follows the fleet's traffic while this daemon keeps keys. */
 	async #readTraffic(): Promise<void> {
 		while (!this.#stopped) {
-			if ([...this.#keepers.values()].some(({lease}) => lease.isHeld)) {
+			const isKeeper = this.#isKeeper();
+			this.view.followServersClosely(isKeeper);
+			if (isKeeper) {
 				await this.#traffic.read();
 			}
 
@@ -107,10 +109,11 @@
 		const {vm} = this.deployment;
 		const {daemonNames} = this.view.view.value;
 		const at = daemonNames.indexOf(vm);
-		return (
-			(at !== -1 && at < standbyCount) ||
-			[...this.#keepers.values()].some(({lease}) => lease.isHeld)
-		);
+		return (at !== -1 && at < standbyCount) || this.#isKeeper();
+	}
+
+	#isKeeper(): boolean {
+		return [...this.#keepers.values()].some(({lease}) => lease.isHeld);
 	}
 
 	/** Enters this daemon among those that share the backend servers. */
--- a/packages/daemon/src/gateway/kind-follower.ts
+++ b/packages/daemon/src/gateway/kind-follower.ts
@@ -41,6 +41,9 @@
 	readonly objects = new Topic<Objects | undefined>(undefined);
 	/** Whether news may be seconds late, at a fraction of the calls. */
 	slow = false;
+	/** How long news may wait for others that come close to them, so that one call brings all. */
+	gatherMs: Millis = 0;
+	#hasNews = false;
 	#lastFailureAt: Millis = -Infinity;
 	#revision: number | undefined;
 	#isUp: boolean | undefined;
@@ -77,6 +80,8 @@
 			this.#note(error);
 			if (error !== undefined) {
 				await this.means.clock.sleep(this.means.random.jitter(retryMs));
+			} else if (this.#hasNews && this.gatherMs > 0) {
+				await this.means.clock.sleep(this.gatherMs);
 			}
 		}
 	}
@@ -141,6 +146,7 @@
 				this.#revision = Math.max(since, revision);
 				this.#noteUnreadable(unreadable);
 				this.#unreadable = new Set([...this.#unreadable, ...unreadable]);
+				this.#hasNews = changes.length > 0;
 				if (changes.length > 0) {
 					const objects = new Map(this.objects.value);
 					for (const {object, removed} of changes) {
--- a/packages/daemon/src/gateway/view-task.ts
+++ b/packages/daemon/src/gateway/view-task.ts
@@ -8,6 +8,7 @@
 	type Clock,
 	type Fault,
 	type ListedServer,
+	type Millis,
 	type Random,
 	type RangeTable,
 } from '@kingcuproute/core';
@@ -45,6 +46,13 @@
 	readonly daemonNames: readonly string[];
 };
 
+/**
+ * Servers come, warm up and leave a few at a time, and each change costs the store a
+ * call of every daemon. A quarter of the shortest time in which leaving servers have to
+ * be heard of.
+ */
+const gatherServersMs: Millis = 500;
+
 const nothing: GatewayView = {
 	routes: undefined,
 	servers: undefined,
@@ -58,6 +66,7 @@
 export class ViewTask extends Task {
 	readonly view = new Topic<GatewayView>(nothing);
 	readonly rangeTableObjects: KindFollower;
+	readonly #servers: KindFollower;
 	readonly #followers: readonly KindFollower[];
 	#evacuated: ReadonlySet<string> = new Set();
 	readonly #hold = new LapseHold();
@@ -81,6 +90,8 @@
 			daemonsKind,
 		].map((kind) => follow(kind));
 		this.rangeTableObjects = rangeTables;
+		this.#servers = servers;
+		servers.gatherMs = gatherServersMs;
 		// A daemon more or less changes the others' parts by little.
 		daemons.slow = true;
 		this.#followers = [config, servers, evacuations, rangeTables, daemons];
@@ -111,6 +122,11 @@
 		});
 	}
 
+	/** Says whether changes of backend servers are heard of one by one: whoever keeps their keys acts on them. */
+	followServersClosely(closely: boolean): void {
+		this.#servers.gatherMs = closely ? 0 : gatherServersMs;
+	}
+
 	override async start(): Promise<void> {
 		for (const follower of this.#followers) {
 			follower.start();
--- a/packages/daemon/test/kind-follower.test.ts
+++ b/packages/daemon/test/kind-follower.test.ts
@@ -23,6 +23,8 @@
 	failing = false;
 	/** Calls are taken and not answered. */
 	silent = false;
+	/** Watches end with the first change. */
+	prompt = false;
 	/** Answers to watches cannot be read. */
 	garbled = false;
 	unreadable: readonly string[] = [];
@@ -53,7 +55,15 @@
 			return Left<ObjectError>({kind: 'unknown', message: 'no answer'});
 		}
 
-		await this.timers.sleep(waitMs);
+		const stepMs = this.prompt ? 10 : waitMs;
+		for (let waited = 0; waited < waitMs; waited += stepMs) {
+			if (this.prompt && this.revision > revision) {
+				break;
+			}
+
+			await this.timers.sleep(stepMs);
+		}
+
 		if (this.garbled) {
 			return Left<ObjectError>({kind: 'unreadable', message: 'no JSON'});
 		}
@@ -103,6 +113,30 @@
 	follower.stop();
 });
 
+test('changes that come close together cost few calls, and none is late by more than the time to gather them', async (t) => {
+	const {clock, store, follower} = following();
+	const gatherMs = 500;
+	store.prompt = true;
+	follower.gatherMs = gatherMs;
+	follower.start();
+	await clock.pass(100);
+	const before = store.calls.length;
+	const changes = 40;
+	const stepMs = 100;
+	for (let revision = 2; revision < 2 + changes; revision++) {
+		store.held = [stored('a', revision)];
+		await clock.pass(stepMs);
+		const heard = follower.objects.value!.get('a')!.revision;
+		t.true((revision - heard) * stepMs <= gatherMs);
+	}
+
+	const most = (changes * stepMs) / gatherMs + 2;
+	t.true(store.calls.length - before <= most, `${store.calls.length}`);
+	await clock.pass(gatherMs);
+	t.is(follower.objects.value!.get('a')!.revision, changes + 1);
+	follower.stop();
+});
+
 test('an old listing does not replace newer news', async (t) => {
 	const {clock, store, follower} = following();
 	store.held = [stored('a', 5)];
