Read the older object API past objects that cannot be read

One object that is not of its kind's schema ended each daemon that watched, and kept one that listed from ever getting ready.

Cause: a line of the watch that could not be read threw out of the loop over the answer's lines; closing the watch then aborted a body to which nobody listened any more, an uncaught exception. A listing failed with any of its objects.

Ruled out: objects of unknown kinds in a listing, which were passed over.

Change: a listing and a watch tell of what cannot be read beside what can; it is logged, and what a daemon held of it stays instead of being taken for deleted.

--- a/packages/core/src/fleet/replica.ts
+++ b/packages/core/src/fleet/replica.ts
@@ -5,6 +5,8 @@
  */
 import {View, type Held} from '../config/view.js';
 
+type ObjectId = {readonly kind?: string; readonly name?: string};
+
 /** Versions after `since`, up to `upto`. */
 export type Span = {readonly since: number; readonly upto: number};
 
@@ -44,14 +46,21 @@
 			: next;
 	}
 
-	/** With everything there was at `version`; a list older than what is held changes nothing. */
-	listed(version: number, objects: readonly Held[]): Replica {
+	/**
+	 * With everything there was at `version`; a list older than what is held changes
+	 * nothing. What is known of `unreadable` objects stays.
+	 */
+	listed(
+		version: number,
+		objects: readonly Held[],
+		unreadable: readonly ObjectId[] = [],
+	): Replica {
 		if (version <= this.complete) {
 			return this;
 		}
 
 		const live = objects.filter(({value}) => value !== undefined);
-		const present = new Set(live.map((held) => idOf(held)));
+		const present = new Set([...live, ...unreadable].map((one) => idOf(one)));
 		const deleted = this.view
 			.held()
 			.filter(
@@ -105,6 +114,6 @@
 	return kind !== 'succession';
 }
 
-function idOf({kind, name}: Held): string {
+function idOf({kind, name}: ObjectId): string {
 	return `${kind}/${name}`;
 }
--- a/packages/core/test/replica.test.ts
+++ b/packages/core/test/replica.test.ts
@@ -204,3 +204,11 @@
 	const late = listed.with([{...vm, version: 2, value}]);
 	t.is(late.view.get('vm', 'vm-2'), undefined);
 });
+
+test('an object that a list has and that cannot be read stays as it was', (t) => {
+	const held = {kind: 'vm', name: 'vm-1', version: 1, value: {vm: 'vm-1'}};
+	const replica = Replica.empty.listed(1, [held as Held]);
+	const {view} = replica.listed(2, [], [{kind: 'vm', name: 'vm-1'}]);
+	t.truthy(view.get('vm', 'vm-1'));
+	t.is(replica.listed(2, []).view.get('vm', 'vm-1'), undefined);
+});
--- a/packages/daemon/src/fleet/config-task.ts
+++ b/packages/daemon/src/fleet/config-task.ts
@@ -93,9 +93,9 @@
 	}
 
 	/** Takes in everything there was at `version`; false when more is held already. */
-	listed(version: number, objects: readonly Held[]): boolean {
+	listed(...listing: Parameters<Replica['listed']>): boolean {
 		const before = this.#replica;
-		this.#hold(before.listed(version, objects));
+		this.#hold(before.listed(...listing));
 		return this.#replica !== before;
 	}
 
--- a/packages/daemon/src/fleet/follow-task.ts
+++ b/packages/daemon/src/fleet/follow-task.ts
@@ -149,8 +149,12 @@
 		);
 	}
 
-	#listed({version, objects}: Listing): void {
-		const news = this.config.listed(version, objects);
+	#listed({version, objects, unreadable}: Listing): void {
+		for (const object of unreadable) {
+			this.log.warn('object-unreadable', object);
+		}
+
+		const news = this.config.listed(version, objects, unreadable);
 		this.log.info('config-listed', {version, objects: objects.length, news});
 		if (news || version === this.config.replica.complete) {
 			this.#mustList = false;
@@ -184,6 +188,11 @@
 				break;
 			}
 
+			case 'unreadable': {
+				this.log.warn('object-unreadable', event.object);
+				break;
+			}
+
 			case 'ended': {
 				this.#mustList = event.error.kind === 'expired';
 				this.#retry(event.error);
--- a/packages/platform/src/http-watch.ts
+++ b/packages/platform/src/http-watch.ts
@@ -4,11 +4,16 @@
  * connection may have gone silent for good.
  */
 import {createInterface} from 'node:readline';
-import {type Clock, type Millis} from '@kingcuproute/core';
+import {fold, type Clock, type Millis} from '@kingcuproute/core';
+import {Either} from 'purify-ts';
 import {Agent, request} from 'undici';
 import {type PlatformError} from './platform-error.js';
-import {type StopWatch, type WatchEvent} from './platform.js';
-import {parseHeld} from './wire.js';
+import {
+	type StopWatch,
+	type UnreadableObject,
+	type WatchEvent,
+} from './platform.js';
+import {readHeld} from './wire.js';
 
 const silenceMs: Millis = 3000;
 
@@ -66,7 +71,7 @@
 		for await (const line of createInterface({input: res.body})) {
 			heard = clock.now();
 			if (line !== '' && !over) {
-				tell({kind: 'changed', held: parseHeld(JSON.parse(line))});
+				tell(eventOf(line));
 			}
 		}
 
@@ -88,3 +93,14 @@
 		}
 	};
 }
+
+function eventOf(line: string): WatchEvent {
+	const read = Either.encase((): unknown => JSON.parse(line))
+		.mapLeft(({message}): UnreadableObject => ({message}))
+		.chain((body) => readHeld(body));
+	return fold(
+		read,
+		(object): WatchEvent => ({kind: 'unreadable', object}),
+		(held) => ({kind: 'changed', held}),
+	);
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -3,6 +3,7 @@
 	type ListedVm,
 	type Listing,
 	type StopWatch,
+	type UnreadableObject,
 	type WatchEvent,
 } from './platform.js';
 export {type PlatformError} from './platform-error.js';
--- a/packages/platform/src/platform.ts
+++ b/packages/platform/src/platform.ts
@@ -17,16 +17,27 @@
 	readonly state: 'live' | 'leaving';
 };
 
+/** An object that is not of its kind's schema, as far as it can be told. */
+export type UnreadableObject = {
+	readonly kind?: string;
+	readonly name?: string;
+	readonly version?: number;
+	readonly message: string;
+};
+
 /** All objects of one kind, and the version from which a watch follows on. */
 export type Listing = {
 	readonly version: number;
 	readonly objects: readonly Held[];
+	/** Those that cannot be read: they exist, and what was known of them holds. */
+	readonly unreadable: readonly UnreadableObject[];
 };
 
-/** What a watch reports: that it is open, a change, or that it has ended and must be opened again. */
+/** What a watch reports: that it is open, a change, one that cannot be read, or that it has ended and must be opened again. */
 export type WatchEvent =
 	| {readonly kind: 'opened'}
 	| {readonly kind: 'changed'; readonly held: Held}
+	| {readonly kind: 'unreadable'; readonly object: UnreadableObject}
 	| {readonly kind: 'ended'; readonly error: PlatformError};
 
 /** Stops a watch. */
--- a/packages/platform/src/wire.ts
+++ b/packages/platform/src/wire.ts
@@ -1,6 +1,8 @@
 /** The object API's JSON bodies, checked before anything is taken from them. */
 import {kindSchemas, kinds, type Held, type Kind} from '@kingcuproute/core';
+import {Either} from 'purify-ts';
 import {z} from 'zod';
+import {type Listing, type UnreadableObject} from './platform.js';
 
 const heldSchema = z.object({
 	kind: z.enum(kinds as [Kind, ...Kind[]]),
@@ -9,6 +11,14 @@
 	value: z.unknown().optional(),
 });
 
+/** What can be told of an object whatever its value is. */
+const partsSchema = z.object({
+	kind: z.string(),
+	name: z.string(),
+	version: z.number().int().nonnegative(),
+});
+const maxMessageLen = 200;
+
 const listingSchema = z.object({
 	version: z.number().int().nonnegative(),
 	objects: z.array(z.unknown()),
@@ -31,13 +41,30 @@
 		: {...rest, value: kindSchemas[rest.kind].parse(value)};
 }
 
+/** One object from JSON, or what is known of one that is not of its kind's schema. */
+export function readHeld(body: unknown): Either<UnreadableObject, Held> {
+	return Either.encase(() => parseHeld(body)).mapLeft(({message}) => ({
+		...partsSchema.safeParse(body).data,
+		message: message.slice(0, maxMessageLen),
+	}));
+}
+
 /** Takes a listing from JSON; objects of kinds unknown here are passed over. */
-export function parseListing(body: unknown) {
+export function parseListing(body: unknown): Listing {
 	const {version, objects} = listingSchema.parse(body);
-	const known = objects.filter((object) =>
-		kinds.includes((object as Held).kind),
-	);
-	return {version, objects: known.map((object) => parseHeld(object))};
+	const read = objects
+		.filter((object) => !isOfUnknownKind(object))
+		.map((object) => readHeld(object));
+	return {
+		version,
+		objects: Either.rights(read),
+		unreadable: Either.lefts(read),
+	};
+}
+
+function isOfUnknownKind(object: unknown): boolean {
+	const {kind} = partsSchema.safeParse(object).data ?? {};
+	return kind !== undefined && !kinds.includes(kind as Kind);
 }
 
 /** Takes the list of VMs from JSON. */
