Have an answer end with its request's time

Callers would wait without end, and a server's connection would be held, where a body, a chunk's extension or size, or trailers never end: the timer of a sending stopped at the answer's head, and after it only silence was bounded. A refusal with a body that never ends was read on for good, after its caller had been answered.

Evidence: "/book/chunkExtension-trickle: 11358 ms" for a request that allows 1500 ms (its caller gave up), and "not within 20 s" for the connection of a refusal. Ruled out: heads that never end (504 at the request's time before, too) and callers that leave (the connection was closed before, too; the test shows it).

An answer has to be whole by the request's time. If its caller has a part of it, the connection is cut; if not, the caller gets 502. Of what goes to nobody, 64 KiB are read.

--- a/packages/daemon/src/gateway/sending.ts
+++ b/packages/daemon/src/gateway/sending.ts
@@ -117,6 +117,7 @@
 				],
 				body: this.plan.body.source(),
 				timeoutMs: leftMs,
+				wholeMs: leftMs,
 				idleMs: answerIdleMs,
 				holdLen,
 				claim: () => true,
--- a/packages/daemon/src/requests/attempt.ts
+++ b/packages/daemon/src/requests/attempt.ts
@@ -23,6 +23,9 @@
 	type ServerConnection,
 } from './server-connection.js';
 
+/** About what is under way on a connection; a new one costs less than reading more. */
+const maxDropLen = 65_536;
+
 /** What is sent, and within which bounds. */
 export type AttemptPlan = {
 	/** Which its answer bears. */
@@ -34,6 +37,8 @@
 	readonly body: BodySource;
 	/** Until the answer's head is here, in ms. */
 	readonly timeoutMs: Millis;
+	/** Until the answer is whole, in ms. */
+	readonly wholeMs: Millis;
 	/** How long an answer that has begun may stand still, in ms. */
 	readonly idleMs: Millis;
 	/** An answer is passed on only once it is whole or longer than this. */
@@ -57,12 +62,15 @@
 	#over = false;
 	#controller: Dispatcher.DispatchController | undefined;
 	#connection: ServerConnection | undefined;
-	readonly #cancelTimer: Cancel;
+	readonly #wholeBy: Millis;
+	#cancelTimer: Cancel;
 	#status = 0;
 	#headers: string[] = [];
 	/** Parts of an answer that is held until it is whole. */
 	#held: Uint8Array[] | undefined;
 	#heldLen = 0;
+	/** Of an answer that goes to nobody. */
+	#droppedLen = 0;
 
 	constructor(
 		private readonly plan: AttemptPlan,
@@ -72,6 +80,7 @@
 		this.ended = new Promise((resolve) => {
 			this.#settle = resolve;
 		});
+		this.#wholeBy = clock.now() + plan.wholeMs;
 		this.#cancelTimer = clock.after(plan.timeoutMs, () => {
 			this.#timedOut();
 		});
@@ -139,6 +148,7 @@
 					message,
 					...(retryAfterMs !== undefined && {retryAfterMs}),
 				});
+				this.#boundAnswer();
 				break;
 			}
 
@@ -148,7 +158,7 @@
 					break;
 				}
 
-				this.#cancelTimer();
+				this.#boundAnswer();
 				this.#status = status;
 				this.#headers = forwardedHeaders(rawOf(headers));
 				this.#begin((judgement.bodyLen ?? Infinity) <= holdLen);
@@ -162,6 +172,7 @@
 		chunk: Uint8Array,
 	): void {
 		if (this.#over) {
+			this.#drop(chunk);
 			return;
 		}
 
@@ -177,6 +188,7 @@
 	}
 
 	onResponseEnd(): void {
+		this.#cancelTimer();
 		if (this.#over) {
 			return;
 		}
@@ -195,6 +207,7 @@
 	}
 
 	onResponseError(_controller: unknown, error: Error): void {
+		this.#cancelTimer();
 		const {message} = error;
 		if (!this.#controller) {
 			this.#end({kind: 'unsent', message});
@@ -259,6 +272,29 @@
 		this.#abort(message);
 	}
 
+	/** Leaves the answer until it has to be whole. */
+	#boundAnswer(): void {
+		const {clock, plan} = this;
+		this.#cancelTimer();
+		this.#cancelTimer = clock.after(this.#wholeBy - clock.now(), () => {
+			const message = `no whole answer in ${Math.round(plan.wholeMs)} ms`;
+			if (this.res.headersSent) {
+				this.#end({kind: 'cut', message});
+				this.#abort(message);
+			} else {
+				this.#lose(message);
+			}
+		});
+	}
+
+	/** Reads past what nobody gets, so that its connection can be used again. */
+	#drop(chunk: Uint8Array): void {
+		this.#droppedLen += chunk.length;
+		if (this.#droppedLen > maxDropLen) {
+			this.#abort('more than is read past');
+		}
+	}
+
 	#lose(message: string): void {
 		this.#end({kind: 'lost', message, silent: false, reset: false});
 		this.#abort(message);
--- a/packages/daemon/src/requests/server-attempt.ts
+++ b/packages/daemon/src/requests/server-attempt.ts
@@ -71,7 +71,7 @@
 
 	#newAttempt(): Attempt {
 		const {clock, settings, connections} = this.means;
-		const {id, req, res} = this.asked;
+		const {id, req, res, deadline} = this.asked;
 		const {answerIdleMs, replayLen} = settings.requests;
 		const {timeoutMs} = this.plan;
 		const method = req.method ?? 'GET';
@@ -83,6 +83,7 @@
 				headers: this.#headers(),
 				body: this.admitted.body.source(),
 				timeoutMs,
+				wholeMs: deadline - clock.now(),
 				idleMs: answerIdleMs,
 				holdLen: replayLen,
 				claim: () => this.plan.claim(this),
--- /dev/null
+++ b/packages/fakes/test/endless-answers.test.ts
@@ -0,0 +1,143 @@
+import test, {type ExecutionContext} from 'ava';
+import {request} from 'undici';
+import {
+	bodies,
+	bodiless,
+	endlessServers,
+	refusals,
+	type EndlessServer,
+	type Pace,
+} from './endless-servers.js';
+import {site, type Site} from './gateway-site.js';
+import {until} from './requests-fixture.js';
+
+/** What a loaded machine may add to a request's time. */
+const slackMs = 3000;
+const patienceMs = 15_000;
+
+type End = {
+	readonly path: string;
+	readonly status: number | undefined;
+	/** Whether the answer looked complete to its caller. */
+	readonly whole: boolean;
+	readonly tookMs: number;
+};
+
+/** A site whose servers answer without end. */
+async function endlessSite(t: ExecutionContext, count = 1) {
+	const made = site(t);
+	const servers = await endlessServers(t, count);
+	for (const [index, {port}] of servers.entries()) {
+		made.list(`i-${index}`, 'plain', port, 100);
+	}
+
+	await made.start();
+	return {made, servers};
+}
+
+/** Paths of requests that may not be repeated. */
+function paths(
+	kinds: Readonly<Record<string, unknown>>,
+	pace: Pace,
+): readonly string[] {
+	return Object.keys(kinds).map((kind) => `/book/${kind}-${pace}`);
+}
+
+/** How a request to `path` ends for a caller that waits `waitMs` and tells of `allowedMs`. */
+async function ask(
+	{entry}: Site,
+	path: string,
+	allowedMs: number,
+	waitMs = patienceMs,
+): Promise<End> {
+	const askedAt = performance.now();
+	let status: number | undefined;
+	let whole = false;
+	try {
+		const res = await request(`http://${entry}${path}`, {
+			method: 'POST',
+			body: 'b',
+			signal: AbortSignal.timeout(waitMs),
+			headers: {
+				host: 'shop.example',
+				'x-kingcuproute-request-id': `q${path}`,
+				'x-kingcuproute-deadline-ms': String(allowedMs),
+			},
+		});
+		status = res.statusCode;
+		for await (const _part of res.body) {
+			// What counts is how it ends.
+		}
+
+		whole = true;
+	} catch {
+		// Cut, or given up: `whole` says so.
+	}
+
+	return {path, status, whole, tookMs: performance.now() - askedAt};
+}
+
+/** Whether no server has a connection left on which something endless was begun. */
+function allClosed(servers: readonly EndlessServer[]): boolean {
+	return servers.every(({endless}) => endless.size === 0);
+}
+
+test.serial(
+	'an answer that never ends is over when the request has to be',
+	async (t) => {
+		const {made, servers} = await endlessSite(t);
+		const allowedMs = 1500;
+		const asked = [
+			...paths({...bodiless, ...bodies, ...refusals}, 'trickle'),
+			...paths({longLength: true}, 'flood'),
+		];
+		const ends = await Promise.all(
+			asked.map(async (path) => ask(made, path, allowedMs)),
+		);
+		for (const {path, status, whole, tookMs} of ends) {
+			t.true(tookMs < allowedMs + slackMs, `${path}: ${tookMs} ms`);
+			t.false(whole && status === 200, `${path}: looks complete`);
+			t.true(status !== 503 || path.includes('refusal'), `${path}: ${status}`);
+		}
+
+		await until(async () => allClosed(servers));
+		t.deepEqual([...servers[0].asked].sort(), [...asked].sort());
+		const {status} = await ask(made, '/book/sound', allowedMs);
+		t.is(status, 200);
+	},
+);
+
+test.serial(
+	'a refusal with a body that never ends leaves its connection',
+	async (t) => {
+		const {made, servers} = await endlessSite(t);
+		const allowedMs = 1500;
+		const begunAt = performance.now();
+		for (const path of [
+			...paths(refusals, 'flood'),
+			...paths(refusals, 'trickle'),
+		]) {
+			const {status} = await ask(made, path, allowedMs);
+			t.is(status, 503);
+		}
+
+		await until(async () => allClosed(servers));
+		t.true(performance.now() - begunAt < allowedMs + slackMs);
+	},
+);
+
+test.serial(
+	'a caller that leaves takes the answer that never ends with it',
+	async (t) => {
+		const {made, servers} = await endlessSite(t);
+		const asked = paths({...bodiless, ...bodies}, 'trickle');
+		const leaveMs = 400;
+		await Promise.all(
+			asked.map(async (path) => ask(made, path, 20_000, leaveMs)),
+		);
+		const leftAt = performance.now();
+		await until(async () => allClosed(servers));
+		t.true(performance.now() - leftAt < 1000);
+		t.is(servers[0].asked.length, asked.length);
+	},
+);
--- a/packages/fakes/test/gateway-site.ts
+++ b/packages/fakes/test/gateway-site.ts
@@ -1,6 +1,6 @@
 /** One daemon as it runs on the platform, between a stand-in store, stand-in servers and a caller. */
 import {once} from 'node:events';
-import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
 import {
 	createServer,
 	type IncomingMessage,
@@ -95,18 +95,29 @@
 		await once(server, 'listening');
 		this.#servers.push(server);
 		const {port} = server.address() as AddressInfo;
+		this.list(name, service, port);
+	}
+
+	/** Has the store list a server at this port. */
+	list(name: string, service: string, port: number, slots = 3): void {
 		this.store.put(
 			'servers',
 			name,
 			{
 				addr: `127.0.0.1:${port}`,
 				born: 1,
-				info: {service, version: 'v1', zone: 'a', slots: 3},
+				info: {service, version: 'v1', zone: 'a', slots},
 			},
 			{state: 'ready', seq: 1, coldLeftMs: 0},
 		);
 	}
 
+	/** The most memory that the daemon has had in RAM so far, in bytes. */
+	peakMemory(): number {
+		const status = readFileSync(`/proc/${this.#daemon!.pid}/status`, 'utf8');
+		return Number(/^VmHWM:\s+(\d+) kB$/m.exec(status)![1]) * 1024;
+	}
+
 	async start(): Promise<void> {
 		const address = await this.store.start();
 		this.store.put('config', 'main', config);
