Bound what a server may send beside the body of its answer

Callers waited for their whole time, and the daemon parsed at full speed all the while, where blank lines, status lines, blanks in a field, informational answers, chunk extensions or chunk sizes come without end. Bytes after an answer were read, too, as long as they were blank lines.

Cause: undici bounds the fields of one head and nothing else of what frames an answer.

Ruled out: bytes that are no answer, endless fields, endless trailers as fast as they are read, 100 Continue, extra bytes other than blank lines: the parser gave these connections up before.

--- a/packages/daemon/src/requests/server-connection.ts
+++ b/packages/daemon/src/requests/server-connection.ts
@@ -6,7 +6,8 @@
  */
 import {type Socket} from 'node:net';
 import {hash32} from '@kingcuproute/core';
-import {Client, type buildConnector, type Dispatcher} from 'undici';
+import {BoundedClient, type BoundedOptions} from '@kingcuproute/platform';
+import {type buildConnector, type Dispatcher} from 'undici';
 
 /** A connection that remembers more is replaced. */
 const maxDeclined = 1000;
@@ -20,15 +21,11 @@
 
 type Current = {socket?: Socket};
 
-export class ServerConnection extends Client {
-	static to(
-		origin: URL,
-		options: Client.Options,
-		connector: buildConnector.connector,
-	): ServerConnection {
+export class ServerConnection extends BoundedClient {
+	static to(origin: URL, options: BoundedOptions): ServerConnection {
 		const current: Current = {};
 		const connect: buildConnector.connector = (to, callback) => {
-			connector(to, (...result) => {
+			options.connect(to, (...result) => {
 				current.socket = result[1] ?? undefined;
 				callback(...result);
 			});
@@ -42,7 +39,7 @@
 
 	private constructor(
 		origin: URL,
-		options: Client.Options,
+		options: BoundedOptions,
 		private readonly current: Current,
 	) {
 		super(origin, options);
--- a/packages/daemon/src/requests/server-connections.ts
+++ b/packages/daemon/src/requests/server-connections.ts
@@ -13,6 +13,8 @@
 const minRetireMs: Millis = 200;
 const tcpKeepAliveMs: Millis = 1000;
 const closeThresholdMs: Millis = 500;
+/** A field of one byte takes four. */
+const maxFieldRatio = 4;
 const resetCode = 'SERVER_RESET';
 
 /** Bounds of connections to backend servers. */
@@ -100,7 +102,11 @@
 			keepAliveTimeoutThreshold: closeThresholdMs,
 			maxHeaderSize: maxHeaderLen,
 			factory: (origin, options) =>
-				ServerConnection.to(origin, options, connector),
+				ServerConnection.to(origin, {
+					...options,
+					connect: connector,
+					maxFramingLen: maxHeaderLen * maxFieldRatio,
+				}),
 		});
 	}
 
--- a/packages/fakes/test/endless-answers.test.ts
+++ b/packages/fakes/test/endless-answers.test.ts
@@ -4,6 +4,7 @@
 	bodies,
 	bodiless,
 	endlessServers,
+	extras,
 	refusals,
 	type EndlessServer,
 	type Pace,
@@ -43,12 +44,12 @@
 	return Object.keys(kinds).map((kind) => `/book/${kind}-${pace}`);
 }
 
-/** How a request to `path` ends for a caller that waits `waitMs` and tells of `allowedMs`. */
+/** How a request to `path` ends for a caller that tells of `allowedMs` and leaves at the signal. */
 async function ask(
 	{entry}: Site,
 	path: string,
 	allowedMs: number,
-	waitMs = patienceMs,
+	signal = AbortSignal.timeout(patienceMs),
 ): Promise<End> {
 	const askedAt = performance.now();
 	let status: number | undefined;
@@ -57,7 +58,7 @@
 		const res = await request(`http://${entry}${path}`, {
 			method: 'POST',
 			body: 'b',
-			signal: AbortSignal.timeout(waitMs),
+			signal,
 			headers: {
 				host: 'shop.example',
 				'x-kingcuproute-request-id': `q${path}`,
@@ -126,15 +127,54 @@
 	},
 );
 
+test.serial(
+	'bytes without end beside a body are not read for as long as the request may take',
+	async (t) => {
+		const {made, servers} = await endlessSite(t);
+		const allowedMs = 12_000;
+		for (const path of paths(bodiless, 'flood')) {
+			const {status, whole, tookMs} = await ask(made, path, allowedMs);
+			t.deepEqual({status, whole}, {status: 502, whole: true}, path);
+			t.true(tookMs < slackMs, `${path}: ${tookMs} ms`);
+		}
+
+		t.deepEqual(servers[0].asked, paths(bodiless, 'flood'));
+		await until(async () => allClosed(servers));
+	},
+);
+
+test.serial(
+	'bytes without end after an answer cost its connection and no other request',
+	async (t) => {
+		const {made, servers} = await endlessSite(t);
+		for (const path of [
+			...paths(extras, 'flood'),
+			...paths(extras, 'trickle'),
+		]) {
+			const {status, whole} = await ask(made, path, 5000);
+			t.deepEqual({status, whole}, {status: 200, whole: true}, path);
+			const begunAt = performance.now();
+			await until(async () => allClosed(servers));
+			t.true(performance.now() - begunAt < 5000, path);
+		}
+
+		const {status} = await ask(made, '/book/sound', 5000);
+		t.is(status, 200);
+	},
+);
+
 test.serial(
 	'a caller that leaves takes the answer that never ends with it',
 	async (t) => {
 		const {made, servers} = await endlessSite(t);
 		const asked = paths({...bodiless, ...bodies}, 'trickle');
-		const leaveMs = 400;
-		await Promise.all(
-			asked.map(async (path) => ask(made, path, 20_000, leaveMs)),
+		const leave = new AbortController();
+		const ends = Promise.all(
+			asked.map(async (path) => ask(made, path, 20_000, leave.signal)),
 		);
+		await until(async () => servers[0].asked.length === asked.length);
+		leave.abort();
+		await ends;
 		const leftAt = performance.now();
 		await until(async () => allClosed(servers));
 		t.true(performance.now() - leftAt < 1000);
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -8,6 +8,11 @@
 } from './platform.js';
 export {type PlatformError} from './platform-error.js';
 export {HttpPlatform, type HttpPlatformOptions} from './http-platform.js';
+export {
+	BoundedClient,
+	boundedFactory,
+	type BoundedOptions,
+} from './bounded-connections.js';
 export {SystemClock} from './system-clock.js';
 export {reachableAddress} from './reachable-address.js';
 export {
