Hold an answer in few blocks, however small its parts

Callers would lose the daemon, and every request in it, to the limit on its memory once many servers answer in parts of a byte: each part that is held was an object of its own, some hundred bytes for one.

Evidence: a hundred such answers at once took 1,179,074,560 bytes of a VM that has 350 MB.

Small parts share blocks of up to 16 KiB; after 256 parts, other connections have their turn. What is held and passed on at last waits for the caller as any part does.

--- a/packages/daemon/src/requests/attempt.ts
+++ b/packages/daemon/src/requests/attempt.ts
@@ -17,6 +17,7 @@
 	type Millis,
 } from '@kingcuproute/core';
 import {type Dispatcher} from 'undici';
+import {HeldBytes} from './held-bytes.js';
 import {type BodySource} from './request-body.js';
 import {
 	type IdentifiedRequest,
@@ -26,6 +27,9 @@
 /** About what is under way on a connection; a new one costs less than reading more. */
 const maxDropLen = 65_536;
 
+/** Parts of one answer taken in a row: about a millisecond's work, however short they are. */
+const maxTurnParts = 256;
+
 /** What is sent, and within which bounds. */
 export type AttemptPlan = {
 	/** Which its answer bears. */
@@ -66,9 +70,9 @@
 	#cancelTimer: Cancel;
 	#status = 0;
 	#headers: string[] = [];
-	/** Parts of an answer that is held until it is whole. */
-	#held: Uint8Array[] | undefined;
-	#heldLen = 0;
+	/** Of an answer that is held until it is whole. */
+	#held: HeldBytes | undefined;
+	#parts = 0;
 	/** Of an answer that goes to nobody. */
 	#droppedLen = 0;
 
@@ -176,14 +180,10 @@
 			return;
 		}
 
-		if (this.#held) {
-			this.#held.push(chunk);
-			this.#heldLen += chunk.length;
-			if (this.#heldLen > this.plan.holdLen) {
-				this.#letGo();
-			}
-		} else if (!this.res.write(chunk)) {
+		if (!this.#take(chunk)) {
 			this.#awaitCaller(controller);
+		} else if (++this.#parts % maxTurnParts === 0) {
+			this.#awaitTurn(controller);
 		}
 	}
 
@@ -218,28 +218,47 @@
 		}
 	}
 
+	/** Holds a part or passes it on; false when the caller is to be waited for. */
+	#take(chunk: Uint8Array): boolean {
+		if (!this.#held) {
+			return this.res.write(chunk);
+		}
+
+		this.#held.add(chunk);
+		return this.#held.len <= this.plan.holdLen || this.#letGo();
+	}
+
 	#begin(holds: boolean): void {
 		if (holds) {
-			this.#held = [];
+			this.#held = new HeldBytes();
 		} else {
 			this.#writeHead();
 		}
 	}
 
-	/** Passes on what is held, and from there on each part as it comes. */
-	#letGo(): void {
-		this.#writeHead();
-		for (const chunk of this.#held ?? []) {
-			this.res.write(chunk);
-		}
-
+	/** Passes on what is held, and from there on each part as it comes; false as `write` says it. */
+	#letGo(): boolean {
+		const {blocks = []} = this.#held ?? {};
 		this.#held = undefined;
+		this.#writeHead();
+		return blocks
+			.filter(({length}) => length > 0)
+			.map((block) => this.res.write(block))
+			.every(Boolean);
 	}
 
 	#writeHead(): void {
 		this.res.writeHead(this.#status, [...this.#headers, ...this.plan.added]);
 	}
 
+	/** Reads on after other connections. */
+	#awaitTurn(controller: Dispatcher.DispatchController): void {
+		controller.pause();
+		setImmediate(() => {
+			controller.resume();
+		});
+	}
+
 	#awaitCaller(controller: Dispatcher.DispatchController): void {
 		controller.pause();
 		const cancel = this.clock.after(this.plan.idleMs, () => {
--- /dev/null
+++ b/packages/daemon/src/requests/held-bytes.ts
@@ -0,0 +1,35 @@
+/** Bytes that are kept in few blocks of memory, however small the parts in which they came. */
+import {Buffer} from 'node:buffer';
+
+/** Of a block that small parts share, in bytes. */
+const maxBlockLen = 16_384;
+
+export class HeldBytes {
+	readonly #full: Uint8Array[] = [];
+	#block = Buffer.alloc(0);
+	/** Of the newest block, taken up. */
+	#used = 0;
+	#len = 0;
+
+	get len(): number {
+		return this.#len;
+	}
+
+	/** All that was added, in order. */
+	get blocks(): readonly Uint8Array[] {
+		return [...this.#full, this.#block.subarray(0, this.#used)];
+	}
+
+	add(part: Uint8Array): void {
+		if (this.#used + part.length > this.#block.length) {
+			this.#full.push(this.#block.subarray(0, this.#used));
+			const blockLen = Math.max(part.length, Math.min(this.#len, maxBlockLen));
+			this.#block = Buffer.allocUnsafe(blockLen);
+			this.#used = 0;
+		}
+
+		this.#block.set(part, this.#used);
+		this.#used += part.length;
+		this.#len += part.length;
+	}
+}
--- a/packages/fakes/test/endless-answers.test.ts
+++ b/packages/fakes/test/endless-answers.test.ts
@@ -12,6 +12,8 @@
 import {site, type Site} from './gateway-site.js';
 import {until} from './requests-fixture.js';
 
+/** The VM's memory, as the site's settings have it. */
+const memory = 350_000_000;
 /** What a loaded machine may add to a request's time. */
 const slackMs = 3000;
 const patienceMs = 15_000;
@@ -181,3 +183,25 @@
 		t.is(servers[0].asked.length, asked.length);
 	},
 );
+
+test.serial(
+	'a hundred answers in the smallest parts, all without end, fit the memory of the VM',
+	async (t) => {
+		const {made, servers} = await endlessSite(t, 4);
+		const asked = Array.from({length: 100}, (_, index) =>
+			index % 10 === 0
+				? `/book/${index}/processing-flood`
+				: `/book/${index}/tinyChunks-flood`,
+		);
+		const ends = await Promise.all(
+			asked.map(async (path) => ask(made, path, 2000)),
+		);
+		t.true(ends.every(({status, whole}) => status !== 200 || !whole));
+		t.true(made.peakMemory() < memory, `${made.peakMemory()} bytes`);
+		await until(async () => allClosed(servers));
+		const statuses = await Promise.all(
+			servers.map(async () => made.status('/book/sound', {}, 'b')),
+		);
+		t.deepEqual(new Set(statuses), new Set([200]));
+	},
+);
