Take no order for done whose answer is not whole

Keys would be taken as granted or released on an answer that has the head of one and then never ends, or ends early.

Cause: `dump` settles without an error after 128 KiB, and after an error.

Evidence: "chunkExtension-flood: 'taken', expected 'unknown'". Ruled out: an order that is never settled; each one ended within its time before.

The body is read to its end, and up to 16 KiB of it; if that fails, the order's end is unknown.

--- /dev/null
+++ b/packages/fakes/test/endless-peers.test.ts
@@ -0,0 +1,60 @@
+import test, {type ExecutionContext} from 'ava';
+import {HttpKeyOrders, SystemClock} from '@kingcuproute/platform';
+import {
+	bodies,
+	bodiless,
+	endlessServers,
+	extras,
+	paces,
+} from './endless-servers.js';
+
+const timeoutMs = 600;
+/** What a loaded machine may add. */
+const slackMs = 1500;
+const order = {from: 1, to: 9, fence: 3};
+
+/** Calls `ask` with the address of a server of each kind; gives what came and after how long. */
+async function askEach<T>(
+	t: ExecutionContext,
+	kinds: readonly string[],
+	ask: (address: string) => Promise<T>,
+): Promise<ReadonlyArray<{kind: string; end: T; tookMs: number}>> {
+	const servers = await endlessServers(t, kinds.length);
+	return Promise.all(
+		servers.map(async (server, index) => {
+			const kind = kinds[index];
+			server.always = kind;
+			const askedAt = performance.now();
+			const end = await ask(`127.0.0.1:${server.port}`);
+			return {kind, end, tookMs: performance.now() - askedAt};
+		}),
+	);
+}
+
+function kindsOf(
+	...sets: ReadonlyArray<Readonly<Record<string, unknown>>>
+): readonly string[] {
+	return sets
+		.flatMap((set) => Object.keys(set))
+		.flatMap((kind) => paces.map((pace) => `${kind}-${pace}`));
+}
+
+test.serial(
+	'an order whose answer never ends is unknown once its time is over',
+	async (t) => {
+		const orders = new HttpKeyOrders(new SystemClock());
+		t.teardown(async () => orders.close());
+		const ends = await askEach(t, kindsOf(bodiless, bodies), async (address) =>
+			orders.release({backendServer: 'a', address}, order, timeoutMs),
+		);
+		for (const {kind, end, tookMs} of ends) {
+			t.is(end.kind, 'unknown', kind);
+			t.true(tookMs < timeoutMs + slackMs, `${kind}: ${tookMs} ms`);
+		}
+
+		const whole = await askEach(t, kindsOf(extras), async (address) =>
+			orders.release({backendServer: 'a', address}, order, timeoutMs),
+		);
+		t.deepEqual(new Set(whole.map(({end}) => end.kind)), new Set(['taken']));
+	},
+);
--- a/packages/platform/src/bounded-connections.ts
+++ b/packages/platform/src/bounded-connections.ts
@@ -5,7 +5,7 @@
  * that a request brings beside its body is counted as the connection delivers it.
  */
 import {type Socket} from 'node:net';
-import {buildConnector, Client, type Dispatcher} from 'undici';
+import {Agent, buildConnector, Client, Pool, type Dispatcher} from 'undici';
 
 /** A chunk of one byte is framed by five. */
 const maxFramingRatio = 8;
@@ -127,3 +127,16 @@
 		});
 	};
 }
+
+/** An agent that reads answers up to `maxBodyLen` bytes; longer ones fail. */
+export function boundedAgent(
+	maxBodyLen: number,
+	options: Agent.Options,
+): Agent {
+	return new Agent({
+		...options,
+		maxResponseSize: maxBodyLen,
+		factory: (origin, pooled) =>
+			new Pool(origin, {...pooled, factory: boundedFactory()}),
+	});
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -9,6 +9,7 @@
 export {type PlatformError} from './platform-error.js';
 export {HttpPlatform, type HttpPlatformOptions} from './http-platform.js';
 export {
+	boundedAgent,
 	BoundedClient,
 	boundedFactory,
 	type BoundedOptions,
--- a/packages/platform/src/key-orders.ts
+++ b/packages/platform/src/key-orders.ts
@@ -6,7 +6,8 @@
  * earlier answer had, else asked again over a connection of its own.
  */
 import {type Clock, type ListedServer, type Millis} from '@kingcuproute/core';
-import {Agent} from 'undici';
+import {type Agent} from 'undici';
+import {boundedAgent} from './bounded-connections.js';
 import {OrderAnswer, type AnsweredOrder} from './order-answer.js';
 import {answerFields, requestFields} from './request-fields.js';
 
@@ -34,7 +35,9 @@
 	| {readonly kind: 'ended'};
 
 /** Orders have time limits of their own. */
-const unbounded = {headersTimeout: 0, bodyTimeout: 0};
+const untimed = {headersTimeout: 0, bodyTimeout: 0};
+/** The answer to an order is its head; a body is a few words at most. */
+const maxAnswerLen = 16_384;
 /** An hour of releases at three a second. */
 const maxHandovers = 10_000;
 const okStatus = 200;
@@ -66,9 +69,13 @@
 };
 
 export class HttpKeyOrders extends KeyOrders {
-	readonly #shared = new Agent(unbounded);
+	readonly #shared = boundedAgent(maxAnswerLen, untimed);
 	/** Without pipelining no connection is kept. */
-	readonly #single = new Agent({...unbounded, pipelining: 0});
+	readonly #single = boundedAgent(maxAnswerLen, {
+		...untimed,
+		pipelining: 0,
+	});
+
 	/** Handovers that came over shared connections, oldest first. */
 	readonly #handovers = new Set<string>();
 
@@ -112,20 +119,20 @@
 		const cancel = this.clock.after(timeoutMs, () => {
 			answer.giveUp(new Error(`no answer in ${timeoutMs} ms`));
 		});
-		agent.dispatch(
-			{
-				origin: `http://${address}`,
-				path: `/kingcuproute/${order}`,
-				method: 'POST',
-				headers: {
-					'content-type': 'application/json',
-					[requestFields.expectedServer]: backendServer,
-				},
-				body: JSON.stringify(body),
-			},
-			answer,
-		);
 		try {
+			agent.dispatch(
+				{
+					origin: `http://${address}`,
+					path: `/kingcuproute/${order}`,
+					method: 'POST',
+					headers: {
+						'content-type': 'application/json',
+						[requestFields.expectedServer]: backendServer,
+					},
+					body: JSON.stringify(body),
+				},
+				answer,
+			);
 			return endOf(await answer.ended);
 		} catch (error) {
 			// A refused connection tells of the path as much as of the server.
