Bound the length of the store's answers

A daemon would be killed for its memory by an answer of the store's address that never ends: all that came within the call's time was kept, and a watch has up to 31 s.

Ruled out: calls that outlast their time; each one failed in time before, too.

An answer is given up past 8 MiB, eight times a page, or past what may come beside a body.

--- a/packages/fakes/test/endless-peers.test.ts
+++ b/packages/fakes/test/endless-peers.test.ts
@@ -1,5 +1,9 @@
 import test, {type ExecutionContext} from 'ava';
-import {HttpKeyOrders, SystemClock} from '@kingcuproute/platform';
+import {
+	HttpKeyOrders,
+	HttpObjectStore,
+	SystemClock,
+} from '@kingcuproute/platform';
 import {
 	bodies,
 	bodiless,
@@ -7,10 +11,14 @@
 	extras,
 	paces,
 } from './endless-servers.js';
+import {until} from './requests-fixture.js';
 
 const timeoutMs = 600;
 /** What a loaded machine may add. */
 const slackMs = 1500;
+const storeMs = 1500;
+/** A tenth of a VM's memory; what is under way on the connection is in it. */
+const maxWrittenLen = 35_000_000;
 const order = {from: 1, to: 9, fence: 3};
 
 /** Calls `ask` with the address of a server of each kind; gives what came and after how long. */
@@ -58,3 +66,39 @@
 		t.deepEqual(new Set(whole.map(({end}) => end.kind)), new Set(['taken']));
 	},
 );
+
+test.serial(
+	'an answer of the store that never ends is not read until its time is over',
+	async (t) => {
+		const [server] = await endlessServers(t, 1);
+		server.always = 'noLength-flood';
+		const store = new HttpObjectStore(
+			`127.0.0.1:${server.port}`,
+			new SystemClock(),
+		);
+		t.teardown(async () => store.close());
+		const watched = await store.watch('servers', 1, 4000);
+		t.true(watched.isLeft());
+		await until(async () => server.writtenLen > 0);
+		t.true(server.writtenLen < maxWrittenLen, `${server.writtenLen} bytes`);
+	},
+);
+
+test.serial(
+	'a call to a store that answers without end fails within its time',
+	async (t) => {
+		const ends = await askEach(
+			t,
+			kindsOf(bodiless, bodies),
+			async (address) => {
+				const store = new HttpObjectStore(address, new SystemClock());
+				t.teardown(async () => store.close());
+				return store.list('servers');
+			},
+		);
+		for (const {kind, end, tookMs} of ends) {
+			t.true(end.isLeft(), kind);
+			t.true(tookMs < storeMs + slackMs, `${kind}: ${tookMs} ms`);
+		}
+	},
+);
--- a/packages/platform/src/http-object-store.ts
+++ b/packages/platform/src/http-object-store.ts
@@ -1,7 +1,8 @@
 /** The platform's store over HTTP/1.1. No call is repeated here: whether that is safe is for its caller to say. */
 import {type Clock, type Millis} from '@kingcuproute/core';
 import {Either, Left, Right} from 'purify-ts';
-import {Agent, request} from 'undici';
+import {type Agent, request} from 'undici';
+import {boundedAgent} from './bounded-connections.js';
 import {
 	namelessObject,
 	nameOf,
@@ -26,6 +27,8 @@
 const keepAliveMs: Millis = 4000;
 /** A page holds about 500 objects: enough for 100,000 servers, and an end when `more` never ends. */
 const maxPages = 200;
+/** Eight times a page at its longest: what changed since a watch began is not divided into pages. */
+const maxAnswerLen = 8_388_608;
 const messageLen = 200;
 const staleQuery = {staleOk: '1'};
 
@@ -45,7 +48,7 @@
 		private readonly clock: Clock,
 	) {
 		super();
-		this.#agent = new Agent({
+		this.#agent = boundedAgent(maxAnswerLen, {
 			connect: {timeout: connectTimeoutMs},
 			keepAliveTimeout: keepAliveMs,
 			keepAliveMaxTimeout: keepAliveMs,
