Let servers drop off the list while their keeper changes, in the random troubles

A keeper that takes no account of its predecessor's leases gives the keys of a server that is off the list away at once.

--- a/packages/daemon/test/gateway-troubles.ts
+++ b/packages/daemon/test/gateway-troubles.ts
@@ -107,14 +107,18 @@
 		lateMs: fc.integer({min: 1500, max: 6000}),
 		gapMs: fc.integer({min: 0, max: 2000}),
 		keys: fc.array(key, {minLength: 2, maxLength: 6}),
-		move: fc.constantFrom('leaving' as const, 'busy' as const),
+		move: fc.constantFrom(
+			'leaving' as const,
+			'off-list' as const,
+			'busy' as const,
+		),
 	})
 	.map(({name: at, vm: by, kind, lateMs, gapMs, keys, move}) => [
 		{kind: 'late', name: at, afterMs: 500, forMs: 1600, ms: lateMs},
 		{kind, vm: by, afterMs: 1500, forMs: 6000, ms: 300},
 		move === 'busy'
 			? {kind: 'busy', keys, afterMs: gapMs, forMs: 5000, ms: 0}
-			: {kind: 'leaving', name: at, afterMs: gapMs, forMs: 5000, ms: 0},
+			: {kind: move, name: at, afterMs: gapMs, forMs: 5000, ms: 0},
 	]);
 
 /** One trouble after the other, most of which overlap. */
