Bound health, load and state that servers tell of themselves

Polls of servers would stop for good, and a lost request's judgement would never be given, once as many servers as are polled at once trickle their answer: only silence was bounded.

Calls to owners ended in time before, too; their length is bounded now, and no test covers that.

Each call has a time for its whole answer, and a length.

--- a/packages/daemon/src/balance/server-polls.ts
+++ b/packages/daemon/src/balance/server-polls.ts
@@ -7,10 +7,14 @@
 	type Random,
 	type Reading,
 } from '@kingcuproute/core';
-import {Agent} from 'undici';
+import {boundedAgent} from '@kingcuproute/platform';
 import {z} from 'zod';
 
 const timeoutMs: Millis = 1000;
+/** For a whole answer, its connection included. */
+const wholeMs: Millis = 3000;
+/** Health and load are a few words each. */
+const maxAnswerLen = 16_384;
 
 const healthSchema = z.object({
 	state: z.string().optional(),
@@ -29,7 +33,7 @@
 };
 
 export class ServerPolls {
-	readonly #agent = new Agent({
+	readonly #agent = boundedAgent(maxAnswerLen, {
 		headersTimeout: timeoutMs,
 		bodyTimeout: timeoutMs,
 		connect: {timeout: timeoutMs},
@@ -98,11 +102,19 @@
 		path: string,
 		schema: z.ZodType<T>,
 	): Promise<T | undefined> {
+		const abort = new AbortController();
+		const cancel = this.clock.after(wholeMs, () => {
+			abort.abort();
+		});
 		try {
-			const {body} = await this.#agent.request({origin, path, method: 'GET'});
+			const {signal} = abort;
+			const call = {origin, path, method: 'GET', signal} as const;
+			const {body} = await this.#agent.request(call);
 			return schema.safeParse(await body.json()).data;
 		} catch {
 			return undefined;
+		} finally {
+			cancel();
 		}
 	}
 }
--- a/packages/daemon/src/ownership/server-calls.ts
+++ b/packages/daemon/src/ownership/server-calls.ts
@@ -11,7 +11,11 @@
 	type ServerState,
 } from '@kingcuproute/core';
 import {Left, Right, type Either} from 'purify-ts';
-import {Client} from 'undici';
+import {boundedFactory} from '@kingcuproute/platform';
+import {type Dispatcher} from 'undici';
+
+/** A server's state is some ten bytes for each range of keys that it holds. */
+const maxAnswerLen = 1_048_576;
 
 /** The call brought no answer: the order may have been carried out. */
 export type CallFailure = {
@@ -33,7 +37,7 @@
 };
 
 export class ServerCalls {
-	#client: Client | undefined;
+	#client: Dispatcher | undefined;
 
 	constructor(
 		readonly options: ServerCallsOptions,
@@ -75,17 +79,18 @@
 		}
 	}
 
-	#connection(): Client {
+	#connection(): Dispatcher {
 		const {address, callMs, localAddress} = this.options;
-		this.#client ??= new Client(`http://${address}`, {
+		this.#client ??= boundedFactory()(new URL(`http://${address}`), {
 			connect: {timeout: callMs},
 			pipelining: 1,
+			maxResponseSize: maxAnswerLen,
 			...(localAddress !== undefined && {localAddress}),
 		});
 		return this.#client;
 	}
 
-	#drop(client: Client): void {
+	#drop(client: Dispatcher): void {
 		if (this.#client === client) {
 			this.#client = undefined;
 		}
