Let no late answer bring an older key table back

What callers would see: two holders, after a keeper had lost its lease while a writing of its table was under way.

Cause: the answer to a writing replaced what was held without comparing revisions, also where the store's watch had told of a newer table since; and a takeover that ended in a later tenure counted for that one.

Change: an answer at a lower revision than the table held counts as overwritten, and a takeover counts only in its own tenure.

Test: kept-table.test.ts, "an answer that comes after newer news brings no older table back", failed before.

--- a/packages/daemon/src/gateway/kept-table.ts
+++ b/packages/daemon/src/gateway/kept-table.ts
@@ -57,7 +57,7 @@
 		);
 	}
 
-	/** Replaces the table in the store; false when that failed or may have failed. */
+	/** Replaces the table in the store; false when that failed, may have failed, or was overwritten since. */
 	async put(table: RangeTable): Promise<boolean> {
 		const {store, service, log} = this.means;
 		this.#isWriting = true;
@@ -81,6 +81,10 @@
 				return false;
 			},
 			(object) => {
+				if (object.revision < (this.#object?.revision ?? 0)) {
+					return false;
+				}
+
 				this.#object = object;
 				this.#table = table;
 				return true;
--- a/packages/daemon/src/gateway/key-keeper.ts
+++ b/packages/daemon/src/gateway/key-keeper.ts
@@ -106,10 +106,12 @@
 	 * higher fence, so each range gets one.
 	 */
 	async #takeOver(): Promise<void> {
-		const {log, service} = this.means;
+		const {log, service, lease} = this.means;
+		const {tenure} = lease;
 		const {ranges} = this.#table.value;
 		const table = refenced(this.#table.value);
-		if (!(await this.#table.put(table))) {
+		const written = await this.#table.put(table);
+		if (!written || !lease.isHeld || lease.tenure !== tenure) {
 			return;
 		}
 
--- /dev/null
+++ b/packages/daemon/test/kept-table.test.ts
@@ -0,0 +1,32 @@
+import test from 'ava';
+import {refenced, type RangeTable} from '@kingcuproute/core';
+import {rangeTableSpec, type StoredObject} from '@kingcuproute/platform';
+import {KeptTable} from '../src/gateway/kept-table.js';
+import {Log} from '../src/log/log.js';
+import {MemoryStore} from './memory-store.js';
+import {RunClock} from './run-clock.js';
+import {Timers} from './timers.js';
+
+const log = Log.to({level: 'silent', routingSample: 1}, {});
+
+function stored(table: RangeTable, revision: number): StoredObject {
+	const spec = rangeTableSpec(table);
+	return {name: 's', revision, spec, status: undefined, rest: {}};
+}
+
+test('an answer that comes after newer news brings no older table back', async (t) => {
+	const timers = new Timers();
+	const clock = new RunClock(timers);
+	const shared = new MemoryStore('', clock);
+	const store = new MemoryStore('x', clock, shared);
+	const table = new KeptTable({service: 's', store, log});
+	shared.answerMs = 1000;
+	const first = refenced(table.value);
+	const written = table.put(first);
+	await timers.pass(500);
+	const newer = refenced(first);
+	table.heard(stored(newer, 9));
+	await timers.pass(1000);
+	t.false(await written);
+	t.true(table.has(newer));
+});
