Send no release once the lease is lost

Cause: a release waits until earlier grants have ended, 800 ms at most, and was then sent without asking whether the lease is still held. A server refuses no release, so it gave up keys that the next keeper had just renewed.

Change: the lease is asked for before the release is sent, as before a grant.

Test: gateway-keeper.test.ts, "a release that waited for a grant to end is not sent once the lease is lost", failed before.

--- a/packages/daemon/src/gateway/key-grants.ts
+++ b/packages/daemon/src/gateway/key-grants.ts
@@ -203,7 +203,7 @@
 		to: number,
 		run: Run,
 	): Promise<{readonly handover: string | undefined} | undefined> {
-		const {clock, orders, listed, log, service} = this.means;
+		const {clock, orders, listed, log, lease, service} = this.means;
 		const {owner: backendServer, fence} = holder;
 		const keys = {service, backendServer, from, to, fence};
 		const server = listed().find((one) => isHeldBy(holder, one));
@@ -212,6 +212,11 @@
 			return undefined;
 		}
 
+		// A server refuses no release, whoever keeps its keys by now.
+		if (!lease.isHeld) {
+			return undefined;
+		}
+
 		const order = {from, to, fence};
 		const end = await orders.release(server, order, releaseTimeoutMs);
 		const message = end.kind === 'unknown' ? end.message : undefined;
--- a/packages/daemon/test/gateway-keeper.test.ts
+++ b/packages/daemon/test/gateway-keeper.test.ts
@@ -294,3 +294,19 @@
 		t.true(someKeys.every((key) => orders.holding(key).length <= 1));
 	});
 });
+
+test('a release that waited for a grant to end is not sent once the lease is lost', async (t) => {
+	for (let afterMs = 0; afterMs < 1400; afterMs += 100) {
+		const {orders, pass, list, put} = fleet(['x'], ['a', 'b']);
+		await pass(1500, () => undefined);
+		orders.wayMs.set('a', 750);
+		await pass(1300 + afterMs, () => undefined);
+		list(['b'], ['a']);
+		await pass(100, () => undefined);
+		put('kingcuproute-keepers/s', {vm: 'y', beat: 1});
+		await pass(50, () => undefined);
+		const sent = orders.releases;
+		await pass(1500, () => undefined);
+		t.is(orders.releases, sent, `${afterMs} ms`);
+	}
+});
--- a/packages/daemon/test/gateway-keepers.ts
+++ b/packages/daemon/test/gateway-keepers.ts
@@ -39,6 +39,8 @@
 	readonly lowFences: string[] = [];
 	/** Servers that carry orders out and do not answer them. */
 	readonly unanswered = new Set<string>();
+	/** Releases sent so far. */
+	releases = 0;
 	/** How long a server takes to answer a release. */
 	readonly releaseMs = new Map<string, Millis>();
 	/** What runs at an address in place of the server of that name. */
@@ -95,6 +97,7 @@
 		{from, to}: Parameters<KeyOrders['release']>[1],
 		timeoutMs: Millis,
 	): Promise<OrderEnd> {
+		this.releases++;
 		const untaken = await this.#untaken(server, timeoutMs);
 		if (untaken) {
 			return untaken;
