Write the key table again over what another writer puts there

The keeper took it for its own, with the holders and fences of that time, and renewed keys that had moved on.

Cause: a keeper in force replaced its table by any newer object that could be read; only an unreadable one was written over.

Change: while it holds the lease and the table is in force, only its own writing counts, the last one included whose answer may be lost; anything else is written over at once, with new fences.

--- a/packages/daemon/src/gateway/kept-table.ts
+++ b/packages/daemon/src/gateway/kept-table.ts
@@ -9,9 +9,11 @@
 	type StoredObject,
 } from '@kingcuproute/platform';
 import {type Log} from '../log/log.js';
+import {type KeeperLease} from './keeper-lease.js';
 
 export type KeptTableMeans = {
 	readonly service: string;
+	readonly lease: Pick<KeeperLease, 'isHeld'>;
 	readonly store: ObjectStore;
 	readonly log: Log;
 };
@@ -21,6 +23,8 @@
 	isInForce = false;
 	#object: StoredObject | undefined;
 	#table: RangeTable;
+	/** Written last; its answer may be lost. */
+	#tried: RangeTable | undefined;
 	#isWriting = false;
 
 	constructor(private readonly means: KeptTableMeans) {
@@ -41,26 +45,28 @@
 			return;
 		}
 
-		fold(
+		const table = fold(
 			parseRangeTable(object?.spec),
-			() => {
-				// Only the keeper knows for sure what stood there: it writes its table again.
-				if (this.isInForce) {
-					this.#object = object;
-					this.isInForce = false;
-				}
-			},
-			(table) => {
-				this.#object = object;
-				this.#table = table;
-			},
+			() => undefined,
+			(read) => read,
 		);
+		if (this.isInForce && this.means.lease.isHeld) {
+			const isOurs = table && [this.#table, this.#tried].some(isSame(table));
+			// Only the keeper knows for sure what stood there: it writes its own table again.
+			this.isInForce = isOurs ?? false;
+			this.#object = object;
+			this.#table = isOurs ? table : this.#table;
+		} else if (table) {
+			this.#object = object;
+			this.#table = table;
+		}
 	}
 
 	/** Replaces the table in the store; false when that failed, may have failed, or was overwritten since. */
 	async put(table: RangeTable): Promise<boolean> {
 		const {store, service, log} = this.means;
 		this.#isWriting = true;
+		this.#tried = table;
 		const written = await store.write({
 			kind: rangeTablesKind,
 			name: service,
@@ -94,9 +100,12 @@
 
 	/** Whether the table last heard of is `table`: a write whose answer was lost, or the same by another daemon. */
 	has(table: RangeTable): boolean {
-		return (
-			JSON.stringify(rangeTableSpec(this.#table)) ===
-			JSON.stringify(rangeTableSpec(table))
-		);
+		return isSame(table)(this.#table);
 	}
 }
+
+function isSame(table: RangeTable) {
+	const text = JSON.stringify(rangeTableSpec(table));
+	return (other: RangeTable | undefined) =>
+		other !== undefined && JSON.stringify(rangeTableSpec(other)) === text;
+}
--- a/packages/daemon/test/gateway-keeper.test.ts
+++ b/packages/daemon/test/gateway-keeper.test.ts
@@ -310,3 +310,28 @@
 		t.is(orders.releases, sent, `${afterMs} ms`);
 	}
 });
+
+test('an older key table that another writer puts back makes no second holder', async (t) => {
+	const {orders, pass, see, shared, put} = fleet(['x', 'y'], ['a', 'b']);
+	const path = 'kingcuproute-range-tables/s';
+	await pass(1500, () => undefined);
+	const {spec} = shared.objects.get(path)!;
+	const rates = new Map([
+		[0, 6],
+		[20_000, 6],
+	]);
+	see({rates, runMs: new Map(['a', 'b'].map((name) => [name, 200]))});
+	await pass(2000, () => undefined);
+	see({rates: new Map(), runMs: new Map()});
+	t.notDeepEqual(orders.holding(0), orders.holding(20_000));
+	const holders = someKeys.map((key) => orders.holding(key)[0]);
+	put(path, spec);
+	await pass(8000, () => {
+		t.is(orders.doubled(), undefined);
+	});
+	t.deepEqual(orders.lowFences, []);
+	t.deepEqual(
+		someKeys.map((key) => orders.holding(key)[0]),
+		holders,
+	);
+});
--- a/packages/daemon/test/kept-table.test.ts
+++ b/packages/daemon/test/kept-table.test.ts
@@ -19,7 +19,12 @@
 	const clock = new RunClock(timers);
 	const shared = new MemoryStore('', clock);
 	const store = new MemoryStore('x', clock, shared);
-	const table = new KeptTable({service: 's', store, log});
+	const table = new KeptTable({
+		service: 's',
+		lease: {isHeld: true},
+		store,
+		log,
+	});
 	shared.answerMs = 1000;
 	const first = refenced(table.value);
 	const written = table.put(first);
