Borrow on while records of keys are handed on in a planned stop

Cause: a daemon that stops asked its successors for no loans any more. 1.1 s later they took its parts over, without the records, while it went on trying to hand them on for up to 1.8 s.

Ruled out: granting meanwhile. A part that is given up is granted in by nobody until the table names its next holder; key-tenure.test holds.

Change: it asks on until the time comes to give the parts up, also for parts that it has given up.

Test: key-handover.test.ts, "records are handed on in a planned stop though that takes longer than a loan", failed before ('unproved').

--- a/packages/core/src/requests/keys/key-tenure.ts
+++ b/packages/core/src/requests/keys/key-tenure.ts
@@ -63,14 +63,22 @@
 		);
 	}
 
-	/** The rows for which this daemon asks `successor` for a loan. */
-	asks(table: KeyTable, successor: string): readonly PartTerm[] {
+	/**
+	 * The rows for which this daemon asks `successor` for a loan. With `handingOn`,
+	 * those too that it has given up and can't grant in: the successor does not take
+	 * them over while their records are on their way.
+	 */
+	asks(
+		table: KeyTable,
+		successor: string,
+		handingOn = false,
+	): readonly PartTerm[] {
 		return partsOf(
 			table,
 			(row, part) =>
 				row.holder === this.self.id &&
 				row.successor === successor &&
-				!this.#hasGivenUp(part, row.term),
+				(handingOn || !this.#hasGivenUp(part, row.term)),
 		);
 	}
 
--- a/packages/daemon/src/requests/keys/key-table-task.ts
+++ b/packages/daemon/src/requests/keys/key-table-task.ts
@@ -89,7 +89,14 @@
 	override async stop(): Promise<void> {
 		this.#cancel?.();
 		this.#stopListening?.();
-		await this.#leave();
+		const until = this.clock.now() + handOnMs;
+		const stopBorrowing = this.clock.repeat(turnMs, () => {
+			if (this.table && until - this.clock.now() > giveUpMs) {
+				void this.#borrow(this.table, true);
+			}
+		});
+		await this.#leave(until);
+		stopBorrowing();
 	}
 
 	/** Whether this daemon may grant keys of `part` now. */
@@ -125,8 +132,7 @@
 	}
 
 	/** Hands every part on, so that a planned stop loses no record; without the store or another daemon nothing can be. */
-	async #leave(): Promise<void> {
-		const until = this.clock.now() + handOnMs;
+	async #leave(until: Millis): Promise<void> {
 		while (this.clock.now() < until) {
 			const {table} = this;
 			const scene = this.#sceneAfter();
@@ -136,8 +142,8 @@
 				return;
 			}
 
+			const keeps = until - this.clock.now() > giveUpMs;
 			if (!this.#writing) {
-				const keeps = until - this.clock.now() > giveUpMs;
 				await this.#plan(table, scene, keeps);
 			}
 
@@ -145,11 +151,11 @@
 		}
 	}
 
-	async #borrow(table: KeyTable): Promise<void> {
+	async #borrow(table: KeyTable, handingOn = false): Promise<void> {
 		const members = this.membership.members.value;
 		await Promise.all(
 			members.map(async ({id, address}) => {
-				const parts = this.#tenure.asks(table, id);
+				const parts = this.#tenure.asks(table, id, handingOn);
 				if (parts.length > 0) {
 					await this.#ask(address, parts);
 				}
--- a/packages/daemon/test/key-handover.test.ts
+++ b/packages/daemon/test/key-handover.test.ts
@@ -1,4 +1,4 @@
-import test from 'ava';
+import test, {type ExecutionContext} from 'ava';
 import {keyParts, partOf} from '@kingcuproute/core';
 import {keepersOf, rowOf} from './key-keepers.js';
 
@@ -7,7 +7,8 @@
 const stopMs = 5000;
 const customerKey = 'tiktak-haus/kaha/0197a1c8-0000-7000-8000-000000000007';
 
-test('a planned stop keeps the records of keys while their next holder takes none', async (t) => {
+/** Stops the holder of a record; gives what a resend is told by the part's next holder. */
+async function resentAfterStop(t: ExecutionContext, lostHandOns: number) {
 	const {keepers, clock, wires} = await keepersOf(3, settledMs);
 	const part = partOf(customerKey, keyParts);
 	const leaver = keepers.find(
@@ -20,7 +21,7 @@
 		keeper.meet(staying.map(({member}) => member));
 	}
 
-	wires.lostHandOns = 3;
+	wires.lostHandOns = lostHandOns;
 	const stopped = leaver.keyTable.stop();
 	await clock.pass(stopMs);
 	await stopped;
@@ -29,5 +30,13 @@
 	)!;
 	const resent = {...claim, claimant: 'second'};
 	const {since} = rowOf(next, part);
-	t.is(next.kept.records.claim(resent, since, clock.now()), 'duplicate');
+	return next.kept.records.claim(resent, since, clock.now());
+}
+
+test('a planned stop keeps the records of keys while their next holder takes none', async (t) => {
+	t.is(await resentAfterStop(t, 3), 'duplicate');
+});
+
+test('records are handed on in a planned stop though that takes longer than a loan', async (t) => {
+	t.is(await resentAfterStop(t, 60), 'duplicate');
 });
