--- a/packages/daemon/test/gateway-keepers.ts
+++ b/packages/daemon/test/gateway-keepers.ts
@@ -1,6 +1,6 @@
 /** Daemons that keep the keys of one service, over a store and backend servers in memory, on a clock that a test moves. */
 import {
-	type KeyRange,
+	type FencedKeys,
 	type KeyTraffic,
 	type ListedServer,
 	type Millis,
@@ -17,8 +17,6 @@
 /** A server's clock may run slow by this. */
 const slowClock = 1.02;
 
-type FencedKeys = Pick<KeyRange, 'from' | 'to' | 'fence'>;
-
 type Hold = FencedKeys & {readonly until: Millis};
 
 /**
--- a/packages/platform/src/key-orders.ts
+++ b/packages/platform/src/key-orders.ts
@@ -5,20 +5,18 @@
  * shared, but end with a refusal; and a release is believed by a handover that no
  * earlier answer had, else asked again over a connection of its own.
  */
-import {type Clock, type ListedServer, type Millis} from '@kingcuproute/core';
+import {
+	type Clock,
+	type FencedKeys,
+	type ListedServer,
+	type Millis,
+} from '@kingcuproute/core';
 import {type Agent} from 'undici';
 import {boundedAgent} from './bounded-connections.js';
 import {OrderAnswer, type AnsweredOrder} from './order-answer.js';
 import {answerFields, requestFields} from './request-fields.js';
 
-/** Keys, both ends inclusive, and the fence under which they are given or taken. */
-export type KeyOrder = {
-	readonly from: number;
-	readonly to: number;
-	readonly fence: number;
-};
-
-export type GrantOrder = KeyOrder & {
+export type GrantOrder = FencedKeys & {
 	/** Counted from the order's arrival at the server. */
 	readonly leaseMs: Millis;
 	/** From the keys' last holder; without it they are slow at first. */
@@ -56,7 +54,7 @@
 
 	abstract release(
 		server: Addressee,
-		order: KeyOrder,
+		order: FencedKeys,
 		timeoutMs: Millis,
 	): Promise<OrderEnd>;
 }
@@ -94,7 +92,7 @@
 
 	override async release(
 		server: Addressee,
-		{from, to, fence}: KeyOrder,
+		{from, to, fence}: FencedKeys,
 		timeoutMs: Millis,
 	): Promise<OrderEnd> {
 		const body = {from, target: to, fence};
