Send no request whose caller had left when it was read

What callers saw: nothing, they had left; servers ran requests for nobody.

A request was read, sent at once, and cancelled 3 to 6 ms later, when the end of its caller's connection was read just behind it (request-sent 37.727, attempt-failed end=cancelled 37.730, for a client that had left at 37.131). So the daemon spent its time on nobody, and stayed behind.

Ruled out: a stall (no gap in the daemon's lines above 0.7 s but the outage), a new connection that came late.

Change: before a request is sent, the event loop reads once more.

Test: gateway.test.ts, "a request whose caller had left when it was read goes to no server": 20 such requests while the daemon stands still; 22 were run before, 2 (those that are answered) since, in 3 of 3 runs.

--- a/packages/daemon/src/gateway/gateway-exchange.ts
+++ b/packages/daemon/src/gateway/gateway-exchange.ts
@@ -127,6 +127,7 @@
 			return undefined;
 		}
 
+		await untilEndIsRead();
 		const key = service.keyed ? this.#key() : undefined;
 		const {version} = routes.config;
 		this.#asked = {id, rule, service, key, body, arrivedAt, until, version};
@@ -245,6 +246,15 @@
 	}
 }
 
+/**
+ * Lets the event loop read once more: where a daemon has fallen behind, the end of a
+ * caller's connection waits just behind its request.
+ */
+async function untilEndIsRead(): Promise<void> {
+	await new Promise(setImmediate);
+	await new Promise(setImmediate);
+}
+
 /** What the caller hears after a failed sending, `refusal` being why there is no further one. */
 function endAfter(
 	end: AttemptEnd,
--- a/packages/fakes/test/gateway-site.ts
+++ b/packages/fakes/test/gateway-site.ts
@@ -194,6 +194,11 @@
 		return this.#daemon!.line(`event=${event}`);
 	}
 
+	/** Has the daemon stand still, or go on. */
+	signal(name: 'SIGSTOP' | 'SIGCONT'): void {
+		this.#daemon!.signal(name);
+	}
+
 	/** Asks the daemon to stop; resolves with its exit code. */
 	async term(): Promise<number | undefined> {
 		return this.#daemon!.end('SIGTERM');
--- a/packages/fakes/test/gateway.test.ts
+++ b/packages/fakes/test/gateway.test.ts
@@ -1,5 +1,7 @@
+import {once} from 'node:events';
 import {readFileSync, writeFileSync} from 'node:fs';
 import {type IncomingMessage} from 'node:http';
+import {connect} from 'node:net';
 import test from 'ava';
 import {request} from 'undici';
 import {answer, site, type Act} from './gateway-site.js';
@@ -119,6 +121,37 @@
 	t.is(asked, 3);
 });
 
+test('a request whose caller had left when it was read goes to no server', async (t) => {
+	const made = site(t);
+	let runs = 0;
+	await made.add('i-1', 'plain', (req, res, body) => {
+		runs++;
+		answer(req, res, body);
+	});
+	await made.start();
+	t.is(await made.status('/read/x'), 200);
+	const {hostname, port} = new URL(`http://${made.entry}`);
+	made.signal('SIGSTOP');
+	const sockets = Array.from({length: 20}, (_, index) => {
+		const socket = connect(Number(port), hostname);
+		socket.end(
+			[
+				'GET /read/x HTTP/1.1',
+				'host: shop.example',
+				`x-kingcuproute-request-id: left-${index}`,
+				'x-kingcuproute-deadline-ms: 20000',
+				'\r\n',
+			].join('\r\n'),
+		);
+		return socket.resume();
+	});
+	await Promise.all(sockets.map(async (socket) => once(socket, 'finish')));
+	made.signal('SIGCONT');
+	await Promise.all(sockets.map(async (socket) => once(socket, 'close')));
+	t.is(await made.status('/read/x'), 200);
+	t.is(runs, 2);
+});
+
 test('an answer to another request is passed to nobody', async (t) => {
 	const made = site(t);
 	await made.add('i-1', 'plain', (req, res, body) => {
