Wait for the close of a caller's connection to be told of, not only read

Cause: waits two turns of the event loop, and the close is told of after the turn that reads it.

Change: four turns.

Run: gateway.test.ts, 11 passed.

--- a/packages/daemon/src/gateway/gateway-exchange.ts
+++ b/packages/daemon/src/gateway/gateway-exchange.ts
@@ -31,6 +31,8 @@
 const ownerWaitShare = 0.3;
 const configRetryMs: Millis = 500;
 const ownerPollMs: Millis = 25;
+/** Turns of the event loop in which the end of a connection is read, the connection closed, and that told of. */
+const turnsToEnd = 4;
 /** About one run of the shortest requests: a slot is likely to be free by then. */
 const declinedRetryMs: Millis = 300;
 
@@ -247,12 +249,13 @@
 }
 
 /**
- * Lets the event loop read once more: where a daemon has fallen behind, the end of a
- * caller's connection waits just behind its request.
+ * Lets the event loop read on: where a daemon has fallen behind, the end of a caller's
+ * connection waits just behind its request.
  */
 async function untilEndIsRead(): Promise<void> {
-	await new Promise(setImmediate);
-	await new Promise(setImmediate);
+	for (let turn = 0; turn < turnsToEnd; turn++) {
+		await new Promise(setImmediate);
+	}
 }
 
 /** What the caller hears after a failed sending, `refusal` being why there is no further one. */
