--- a/packages/core/src/gateway/route-rule.ts
+++ b/packages/core/src/gateway/route-rule.ts
@@ -25,7 +25,7 @@
 	readonly priority: number;
 	/** Most backend servers to which one request may be sent. */
 	readonly maxAttempts: number;
-	/** At least one; weights sum to more than 0. */
+	/** Weights sum to more than 0; empty if the configuration names no readable service. */
 	readonly parts: readonly RoutePart[];
 };
 
--- a/packages/core/src/gateway/route-table.ts
+++ b/packages/core/src/gateway/route-table.ts
@@ -40,8 +40,11 @@
 	}
 }
 
-/** Picks the service for one request at random, by the weights of the rule's parts. */
-export function drawService({parts}: RouteRule, random: Random): string {
+/** Picks the service for one request at random, by the weights of the rule's parts; undefined if there are none. */
+export function drawService(
+	{parts}: RouteRule,
+	random: Random,
+): string | undefined {
 	let remaining =
 		random.fraction() * parts.reduce((sum, {weight}) => sum + weight, 0);
 	for (const {service, weight} of parts) {
@@ -51,5 +54,5 @@
 		}
 	}
 
-	return parts.at(-1)!.service;
+	return parts.at(-1)?.service;
 }
--- a/packages/daemon/src/gateway/exchange-context.ts
+++ b/packages/daemon/src/gateway/exchange-context.ts
@@ -3,6 +3,7 @@
 import {type Log} from '../log/log.js';
 import {type ServerConnections} from '../requests/server-connections.js';
 import {type ServiceBudgets} from '../requests/service-budgets.js';
+import {type GatewayMetrics} from './gateway-metrics.js';
 import {type ServerPicks} from './server-picks.js';
 import {type TrafficTask} from './traffic-task.js';
 import {type ViewTask} from './view-task.js';
@@ -15,5 +16,6 @@
 	readonly budgets: ServiceBudgets;
 	readonly clock: Clock;
 	readonly random: Random;
+	readonly metrics: GatewayMetrics;
 	readonly log: Log;
 };
--- a/packages/daemon/src/gateway/gateway-entry-task.ts
+++ b/packages/daemon/src/gateway/gateway-entry-task.ts
@@ -16,6 +16,7 @@
 import {Task} from '../task/task.js';
 import {type ExchangeContext} from './exchange-context.js';
 import {GatewayExchange} from './gateway-exchange.js';
+import {GatewayMetrics, metricsPath} from './gateway-metrics.js';
 import {sendEnd} from './request-end.js';
 import {ServerPicks} from './server-picks.js';
 import {TrafficTask} from './traffic-task.js';
@@ -56,6 +57,7 @@
 		@inject(TrafficTask) traffic: TrafficTask,
 		@inject('Clock') private readonly clock: Clock,
 		@inject('Random') random: Random,
+		@inject(GatewayMetrics) private readonly metrics: GatewayMetrics,
 		@inject(Log) private readonly log: Log,
 	) {
 		super();
@@ -75,6 +77,7 @@
 			budgets,
 			clock,
 			random,
+			metrics,
 			log,
 		};
 		this.#entry = entryServer(entryBounds, (req, res) => {
@@ -85,7 +88,12 @@
 			res.shouldKeepAlive = !this.#stopping && res.shouldKeepAlive;
 			void this.#exchange(req, res);
 		});
-		this.#readiness = createServer((_req, res) => {
+		this.#readiness = createServer((req, res) => {
+			if (req.url === metricsPath) {
+				void this.#sendMetrics(res);
+				return;
+			}
+
 			res.writeHead(this.isReady ? 200 : 503);
 			res.end();
 		});
@@ -132,6 +140,12 @@
 		this.#readiness.close();
 	}
 
+	async #sendMetrics(res: ServerResponse): Promise<void> {
+		const text = await this.metrics.text();
+		res.writeHead(200, {'content-type': this.metrics.contentType});
+		res.end(text);
+	}
+
 	async #exchange(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		try {
 			await new GatewayExchange(this.#context, req, res).run();
--- a/packages/daemon/src/gateway/gateway-exchange.ts
+++ b/packages/daemon/src/gateway/gateway-exchange.ts
@@ -76,15 +76,18 @@
 			RequestBody.drop(this.req);
 		}
 
-		const {log, clock} = this.context;
+		const {log, clock, metrics} = this.context;
 		const tookMs = Math.round(clock.now() - arrivedAt);
 		const {service, key, version} = this.#request ?? {};
 		const fields = {id, service: service?.service, key, version, tookMs};
 		if (!end) {
+			const outcome = this.#callerGone ? 'gone' : 'answered';
+			metrics.requestEnded(service?.service, outcome, tookMs);
 			log.routing('request-ended', {...fields, gone: this.#callerGone});
 			return;
 		}
 
+		metrics.requestEnded(service?.service, end.reason, tookMs);
 		log.routing('request-refused', {...fields, ...end});
 		sendEnd(this.res, end);
 	}
@@ -106,11 +109,19 @@
 		}
 
 		const rule = routes.rule(headers.host ?? '', url);
-		const service = rule && routes.service(drawService(rule, random));
-		if (!rule || !service) {
+		if (!rule) {
 			return {reason: 'no-route', notRun: true};
 		}
 
+		const service = routes.service(drawService(rule, random) ?? '');
+		if (!service) {
+			return {
+				reason: 'no-service',
+				notRun: true,
+				retryAfterMs: configRetryMs,
+			};
+		}
+
 		const {bodyLen} = routes.config.limits;
 		if (Number(headers['content-length'] ?? 0) > bodyLen) {
 			return {reason: 'too-large', notRun: true};
--- /dev/null
+++ b/packages/daemon/src/gateway/gateway-metrics.ts
@@ -0,0 +1,70 @@
+/** Metrics of the daemon on the platform, served beside the readiness checks. The configuration and the code limit the number of label values. */
+import {type Millis} from '@kingcuproute/core';
+import {Counter, Histogram, Registry} from 'prom-client';
+import {singleton} from 'tsyringe';
+
+/** The path of the metrics at the readiness address. */
+export const metricsPath = '/metrics';
+
+const secondMs: Millis = 1000;
+
+@singleton()
+export class GatewayMetrics {
+	readonly #registry = new Registry();
+	readonly #requests = new Counter({
+		name: 'kingcuproute_gateway_requests_total',
+		help: 'Requests that have ended, by service and by outcome or reason of refusal',
+		labelNames: ['service', 'outcome'] as const,
+		registers: [this.#registry],
+	});
+
+	readonly #durations = new Histogram({
+		name: 'kingcuproute_gateway_request_seconds',
+		help: 'Time from the arrival of a request to the end of its handling',
+		labelNames: ['service'] as const,
+		buckets: [0.03, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 3, 5, 10],
+		registers: [this.#registry],
+	});
+
+	readonly #unreadable = new Counter({
+		name: 'kingcuproute_gateway_unreadable_total',
+		help: 'Objects of the store, and fields of the configuration, that could not be read',
+		labelNames: ['kind'] as const,
+		registers: [this.#registry],
+	});
+
+	readonly #notices = new Counter({
+		name: 'kingcuproute_gateway_server_notices_total',
+		help: 'Notices in answers of backend servers: leaving, hold, or malformed',
+		labelNames: ['notice'] as const,
+		registers: [this.#registry],
+	});
+
+	get contentType(): string {
+		return this.#registry.contentType;
+	}
+
+	/** The metrics in the text format of Prometheus. */
+	async text(): Promise<string> {
+		return this.#registry.metrics();
+	}
+
+	/** Counts a request; `service` is undefined if it matched no route. */
+	requestEnded(
+		service: string | undefined,
+		outcome: string,
+		tookMs: Millis,
+	): void {
+		const label = service ?? 'none';
+		this.#requests.inc({service: label, outcome});
+		this.#durations.observe({service: label}, tookMs / secondMs);
+	}
+
+	unreadable(kind: string, count: number): void {
+		this.#unreadable.inc({kind}, count);
+	}
+
+	serverNotice(notice: 'leaving' | 'hold' | 'malformed'): void {
+		this.#notices.inc({notice});
+	}
+}
--- a/packages/daemon/src/gateway/request-end.ts
+++ b/packages/daemon/src/gateway/request-end.ts
@@ -6,6 +6,8 @@
 export type Reason =
 	| 'no-config'
 	| 'no-route'
+	/** The route's service is not in the configuration, or could not be read there. */
+	| 'no-service'
 	| 'bad-request'
 	| 'too-large'
 	| 'no-server'
--- a/packages/daemon/src/gateway/view-task.ts
+++ b/packages/daemon/src/gateway/view-task.ts
@@ -30,6 +30,7 @@
 import {Log} from '../log/log.js';
 import {Task} from '../task/task.js';
 import {Topic} from '../task/topic.js';
+import {GatewayMetrics} from './gateway-metrics.js';
 import {KindFollower, type Objects} from './kind-follower.js';
 
 /** All state that routing reads, as of the newest change. */
@@ -53,6 +54,8 @@
  */
 const gatherServersMs: Millis = 500;
 
+const maxFaultsLogged = 5;
+
 const emptyView: GatewayView = {
 	routes: undefined,
 	servers: undefined,
@@ -77,6 +80,7 @@
 		@inject('Store') store: ObjectStore,
 		@inject('Clock') private readonly clock: Clock,
 		@inject('Random') random: Random,
+		@inject(GatewayMetrics) private readonly metrics: GatewayMetrics,
 		@inject(Log) private readonly log: Log,
 	) {
 		super();
@@ -120,7 +124,9 @@
 			const daemonNames = this.#parseAll(daemonsKind, objects, ({name, spec}) =>
 				parseDaemon(spec).map(() => name),
 			).sort();
-			this.#update({daemons: Math.max(1, daemonNames.length), daemonNames});
+			// An entry that can't be read still stands for a daemon that needs its share.
+			const count = objects?.size ?? 0;
+			this.#update({daemons: Math.max(1, count), daemonNames});
 		});
 	}
 
@@ -152,12 +158,14 @@
 			(faults) => {
 				this.#logUnreadable(configKind, object, faults);
 			},
-			(config) => {
+			({config, faults}) => {
 				const {routes} = this.view.value;
 				if (routes && config.version <= routes.config.version) {
 					return;
 				}
 
+				this.#logReplacedParts(object, faults);
+
 				const {version, rules} = config;
 				const {revision} = object;
 				this.log.info('config-in-force', {
@@ -225,10 +233,27 @@
 		if (this.#unreadable.get(object) !== revision) {
 			this.#unreadable.set(object, revision);
 			const [{path, message}] = faults;
+			this.metrics.unreadable(kind, 1);
 			this.log.warn('object-unreadable', {object, revision, path, message});
 		}
 	}
 
+	/** Parts of the configuration that can't be read are replaced by cautious values; the rest is in force. */
+	#logReplacedParts({name, revision}: StoredObject, faults: readonly Fault[]) {
+		if (faults.length === 0) {
+			return;
+		}
+
+		const object = `${configKind}/${name}`;
+		const parts = faults
+			.slice(0, maxFaultsLogged)
+			.map(({path, message}) => `${path}: ${message}`)
+			.join('; ');
+		const count = faults.length;
+		this.metrics.unreadable(configKind, count);
+		this.log.warn('config-partly-unreadable', {object, revision, count, parts});
+	}
+
 	#update(changes: Partial<GatewayView>): void {
 		this.view.publish({...this.view.value, ...changes});
 	}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -67,4 +67,5 @@
 	configName,
 	evacuationsKind,
 	parseRoutingConfig,
+	type RoutingReading,
 } from './routing-document.js';
--- a/packages/platform/src/routing-document.ts
+++ b/packages/platform/src/routing-document.ts
@@ -1,13 +1,23 @@
-/** Parses the operators' configuration from its object in the platform's store. */
+/**
+ * Parses the operators' configuration from its object in the platform's store.
+ *
+ * Only an unreadable version, or a list of routes or services that is missing, makes the
+ * whole document unusable. Anything else that can't be read is replaced by its most
+ * cautious reading: a route of an unknown kind is never retried, one without a readable
+ * service is refused, and a service with an unreadable limit gets the least.
+ */
 import {
 	validate,
-	type Validated,
+	type CallerLimits,
+	type Fault,
 	type RoutedService,
+	type RoutePart,
 	type RouteRule,
 	type RoutingConfig,
+	type Validated,
 } from '@kingcuproute/core';
-import {Left} from 'purify-ts';
 import {z} from 'zod';
+import {FieldReader} from './field-reader.js';
 
 /** The object that holds the complete latest configuration. */
 export const configKind = 'config';
@@ -15,11 +25,28 @@
 /** An object of this kind takes the failure domain of its name out of service. */
 export const evacuationsKind = 'evacuations';
 
+/** A configuration, and the parts of its document that were replaced or left out. */
+export type RoutingReading = {
+	readonly config: RoutingConfig;
+	readonly faults: readonly Fault[];
+};
+
 const secondMs = 1000;
+/** The rank of a route whose priority can't be read: after all others. */
+const lastPriority = Number.MAX_SAFE_INTEGER;
+/** Requests a second for a cold server whose service states an unreadable rate. */
+const cautiousColdRate = 1;
+/** Limits on callers where the configured ones can't be read: wide enough for any proper request. */
+const fallbackLimits: CallerLimits = {
+	headerLen: 65_536,
+	bodyLen: 67_108_864,
+	headerMs: 10_000,
+	idleMs: 30_000,
+};
 
 const columnar = z.object({
-	columns: z.array(z.string()),
-	rows: z.array(z.array(z.unknown())),
+	columns: z.array(z.unknown()),
+	rows: z.array(z.unknown()),
 });
 
 const part = z.object({
@@ -27,30 +54,7 @@
 	weight: z.number().nonnegative(),
 });
 
-const route = z.object({
-	name: z.string(),
-	host: z.string(),
-	pathPrefix: z.string().startsWith('/').endsWith('/'),
-	routeKind: z.enum(['safe', 'unsafe', 'upload']),
-	timeoutMs: z.number().positive(),
-	targetLatencyMs: z.number().positive(),
-	priority: z.number().int().nonnegative(),
-	maxAttempts: z.number().int().positive(),
-	service: z.string().optional(),
-	trafficSplit: z.array(part).optional(),
-});
-
-const service = z.object({
-	/** Used as a part of paths. */
-	name: z.string().regex(/^\P{Cs}+$/u, 'expected well-formed Unicode'),
-	healthPath: z.string().startsWith('/'),
-	maxConns: z.number().int().positive(),
-	warmupS: z.number().nonnegative().optional(),
-	coldPerS: z.number().nonnegative().optional(),
-	sharded: z.boolean().optional(),
-});
-
-const config = z.object({
+const document = z.object({
 	version: z
 		.string()
 		.regex(/^r\d+$/, 'expected r and a number')
@@ -60,79 +64,163 @@
 		),
 	routes: columnar,
 	services: columnar,
-	limits: z.object({
-		maxHeaderBytes: z.number().int().positive(),
-		maxBodyBytes: z.number().int().positive(),
-		headerTimeoutMs: z.number().positive(),
-		idleTimeoutMs: z.number().positive(),
-	}),
+	limits: z.unknown(),
 });
 
+const positive = z.number().positive();
+const count = z.number().int().positive();
+const rate = z.number().nonnegative();
+const text = z.string();
+const host = z.string().min(1);
+const pathPrefix = z.string().startsWith('/').endsWith('/');
+const healthPath = z.string().startsWith('/');
+const routeKind = z.enum(['safe', 'unsafe', 'upload', 'download']);
+/** Used as a part of paths. */
+const serviceName = z
+	.string()
+	.regex(/^\P{Cs}+$/u, 'expected well-formed Unicode');
+
+type Row = Readonly<Record<string, unknown>>;
+
 /** Parses the configuration in the object's body. */
-export function parseRoutingConfig(spec: unknown): Validated<RoutingConfig> {
-	return validate(config, spec).chain(({version, limits, ...lists}) => {
-		const routes = validate(z.array(route), objectsOf(lists.routes));
-		const services = validate(z.array(service), objectsOf(lists.services));
-		return routes.chain((rows) => {
-			const unroutable = rows.find(
-				({service: only, trafficSplit}) =>
-					only === undefined && !trafficSplit?.some(({weight}) => weight > 0),
-			);
-			return unroutable
-				? Left([
-						{
-							path: `routes.${unroutable.name}`,
-							message: 'neither a service nor a split with a weight above 0',
-						},
-					])
-				: services.map((list) => ({
-						version: Number(version.slice(1)),
-						rules: rows.map((row) => ruleOf(row)),
-						services: list.map((row) => serviceOf(row)),
-						limits: {
-							headerLen: limits.maxHeaderBytes,
-							bodyLen: limits.maxBodyBytes,
-							headerMs: limits.headerTimeoutMs,
-							idleMs: limits.idleTimeoutMs,
-						},
-					}));
-		});
+export function parseRoutingConfig(spec: unknown): Validated<RoutingReading> {
+	return validate(document, spec).map(({version, routes, services, limits}) => {
+		const reader = new FieldReader();
+		const rules = rowsOf(reader, 'routes', routes).flatMap(
+			([path, row]) => readRule(reader, path, row) ?? [],
+		);
+		const config = {
+			version: Number(version.slice(1)),
+			rules,
+			services: rowsOf(reader, 'services', services).flatMap(
+				([path, row]) => readService(reader, path, row) ?? [],
+			),
+			limits: readLimits(reader, limits),
+		};
+		return {config, faults: reader.faults};
 	});
 }
 
-/** One object for each row; null in a row stands for an absent field. */
-function objectsOf({columns, rows}: z.infer<typeof columnar>) {
-	return rows.map((row) =>
-		Object.fromEntries(
-			columns.flatMap((column, index) => {
-				const value = row[index];
-				return value === null || value === undefined ? [] : [[column, value]];
-			}),
-		),
+/** One object for each row, with its path; null in a row stands for an absent field. */
+function rowsOf(
+	reader: FieldReader,
+	list: string,
+	{columns, rows}: z.infer<typeof columnar>,
+): ReadonlyArray<readonly [string, Row]> {
+	const names = columns.map((column, index) =>
+		reader.read(`${list}.columns.${index}`, text, column, ''),
+	);
+	return rows.flatMap((row, index) => {
+		const path = `${list}.${index}`;
+		const values = reader.read(path, z.array(z.unknown()), row, []);
+		return Array.isArray(row) ? [[path, objectOf(names, values)] as const] : [];
+	});
+}
+
+function objectOf(names: readonly string[], values: readonly unknown[]): Row {
+	return Object.fromEntries(
+		names.flatMap((name, index) => {
+			const value = values[index] ?? undefined;
+			return value === undefined ? [] : [[name, value]];
+		}),
 	);
 }
 
-function ruleOf(row: z.infer<typeof route>): RouteRule {
+/** Undefined if the row doesn't say which requests the route is for. */
+function readRule(
+	reader: FieldReader,
+	path: string,
+	row: Row,
+): RouteRule | undefined {
+	const field = fieldReader(reader, path, row);
+	const ruleHost = field('host', host, '');
+	const prefix = field('pathPrefix', pathPrefix, '');
+	if (ruleHost === '' || prefix === '') {
+		return undefined;
+	}
+
+	const timeoutMs = field('timeoutMs', positive, Infinity);
+	const kind = field('routeKind', routeKind, 'unsafe');
+	return {
+		route: field('name', text, `${ruleHost}${prefix}`),
+		host: ruleHost.toLowerCase(),
+		pathPrefix: prefix,
+		repeatability: kind === 'safe' || kind === 'download' ? 'safe' : 'unsafe',
+		timeoutMs,
+		targetMs: field('targetLatencyMs', positive, timeoutMs),
+		priority: field('priority', z.number().int().nonnegative(), lastPriority),
+		maxAttempts: field('maxAttempts', count, 1),
+		parts: readParts(reader, path, row),
+	};
+}
+
+/** Empty if the row names no service that could be read. */
+function readParts(
+	reader: FieldReader,
+	path: string,
+	{service, trafficSplit}: Row,
+): readonly RoutePart[] {
+	if (trafficSplit === undefined) {
+		const name = reader.read(`${path}.service`, text, service, '');
+		return name === '' ? [] : [{service: name, weight: 1}];
+	}
+
+	const splitPath = `${path}.trafficSplit`;
+	const entries = reader.read(
+		splitPath,
+		z.array(z.unknown()),
+		trafficSplit,
+		[],
+	);
+	const parts = entries.flatMap((entry, index) => {
+		const none: z.infer<typeof part> | undefined = undefined;
+		const partPath = `${splitPath}.${index}`;
+		return reader.read(partPath, part.optional(), entry, none) ?? [];
+	});
+	if (parts.some(({weight}) => weight > 0)) {
+		return parts;
+	}
+
+	reader.report(splitPath, 'no part with a weight above 0');
+	return [];
+}
+
+/** Undefined if the service has no name that could be read. */
+function readService(
+	reader: FieldReader,
+	path: string,
+	row: Row,
+): RoutedService | undefined {
+	const field = fieldReader(reader, path, row);
+	const name = field('name', serviceName, '');
+	if (name === '') {
+		return undefined;
+	}
+
+	const warmupS = field('warmupS', rate.optional(), undefined) ?? 0;
 	return {
-		route: row.name,
-		host: row.host.toLowerCase(),
-		pathPrefix: row.pathPrefix,
-		repeatability: row.routeKind === 'safe' ? 'safe' : 'unsafe',
-		timeoutMs: row.timeoutMs,
-		targetMs: row.targetLatencyMs,
-		priority: row.priority,
-		maxAttempts: row.maxAttempts,
-		parts: row.trafficSplit ?? [{service: row.service!, weight: 1}],
+		service: name,
+		healthPath: field('healthPath', healthPath, '/health'),
+		connections: field('maxConns', count, 1),
+		coldRate: field('coldPerS', rate.optional(), cautiousColdRate) ?? Infinity,
+		coldMs: warmupS * secondMs,
+		keyed: field('sharded', z.boolean().optional(), undefined) ?? false,
 	};
 }
 
-function serviceOf(row: z.infer<typeof service>): RoutedService {
+function readLimits(reader: FieldReader, limits: unknown): CallerLimits {
+	const row = reader.read('limits', z.looseObject({}), limits, {});
+	const field = fieldReader(reader, 'limits', row);
+	const {headerLen, bodyLen, headerMs, idleMs} = fallbackLimits;
 	return {
-		service: row.name,
-		healthPath: row.healthPath,
-		connections: row.maxConns,
-		coldRate: row.coldPerS ?? Infinity,
-		coldMs: (row.warmupS ?? 0) * secondMs,
-		keyed: row.sharded ?? false,
+		headerLen: field('maxHeaderBytes', count, headerLen),
+		bodyLen: field('maxBodyBytes', count, bodyLen),
+		headerMs: field('headerTimeoutMs', positive, headerMs),
+		idleMs: field('idleTimeoutMs', positive, idleMs),
 	};
 }
+
+function fieldReader(reader: FieldReader, path: string, row: Row) {
+	return <T>(name: string, schema: z.ZodType<T>, fallback: T): T =>
+		reader.read(`${path}.${name}`, schema, row[name], fallback);
+}
