--- a/packages/core/src/gateway/listed-server.ts
+++ b/packages/core/src/gateway/listed-server.ts
@@ -17,17 +17,18 @@
 	readonly coldMs: Millis;
 };
 
-/** Servers that may get requests, by service, without draining ones and those in a failure domain out of service. */
-export function serversInService(
+/** The servers of each service, including leaving ones, without those in a failure domain out of service. */
+export function serversByService(
 	servers: readonly ListedServer[],
 	domainsOut: ReadonlySet<string>,
 ): ReadonlyMap<string, readonly ListedServer[]> {
 	const byService = new Map<string, ListedServer[]>();
 	for (const server of servers) {
-		const {service, draining, failureDomain} = server;
-		if (!draining && !domainsOut.has(failureDomain)) {
+		const {service, failureDomain} = server;
+		if (!domainsOut.has(failureDomain)) {
 			const others = byService.get(service) ?? [];
-			byService.set(service, [...others, server]);
+			others.push(server);
+			byService.set(service, others);
 		}
 	}
 
--- a/packages/core/src/gateway/server-loads.ts
+++ b/packages/core/src/gateway/server-loads.ts
@@ -32,6 +32,10 @@
 const readingHalfLifeMs: Millis = 5000;
 /** The expected time of a request at an idle server, relative to the time that one more request per slot adds. */
 const idleWeight = 0.5;
+/** A server that has answered within this time is likely to take a retry. */
+const provenMs: Millis = 5000;
+/** Requests per slot below which a slot is free. */
+const freeLoad = 1;
 /** Requests per slot at which a server gets no more: its queue then holds about one run time of work. */
 const maxLoad = 2;
 
@@ -46,6 +50,7 @@
 	runMs: Millis | undefined;
 	runMsAt: Millis;
 	avoidUntil: Millis;
+	answeredAt: Millis;
 	/** The share of its recent requests that it declined or lost, as of `failShareAt`. */
 	failShare: number;
 	failShareAt: Millis;
@@ -82,6 +87,10 @@
 			stats.failShareAt = now;
 		}
 
+		if (end === 'answered') {
+			stats.answeredAt = now;
+		}
+
 		if (end === 'lost') {
 			stats.avoidUntil = now + avoidLostMs;
 		} else if (end === 'declined') {
@@ -123,10 +132,16 @@
 		return times;
 	}
 
-	/** The server that is expected to answer first; undefined if all are full. */
+	/**
+	 * The server that is expected to answer first; undefined if all are full. A retry goes
+	 * to a server that has answered this daemon recently and has a free slot, if there is
+	 * one: in a large fleet a daemon knows few servers, and when many refuse, the next one
+	 * at random is likely to refuse as well.
+	 */
 	choose(
 		candidates: readonly ListedServer[],
 		now: Millis,
+		isRetry = false,
 	): ListedServer | undefined {
 		const loads = candidates
 			.map((server) => ({server, load: this.load(server, now)}))
@@ -134,7 +149,14 @@
 		const notAvoided = loads.filter(
 			({server}) => this.#statsOf(server.backendServer).avoidUntil <= now,
 		);
-		const eligible = notAvoided.length > 0 ? notAvoided : loads;
+		const proven = notAvoided.filter(
+			({server, load}) =>
+				isRetry &&
+				load < freeLoad &&
+				now - this.#statsOf(server.backendServer).answeredAt < provenMs,
+		);
+		const eligible =
+			[proven, notAvoided].find(({length}) => length > 0) ?? loads;
 		const slowness = this.#slowness(candidates, now);
 		const estimates = eligible.map(({server, load}) => ({
 			server,
@@ -209,6 +231,7 @@
 				runMs: undefined,
 				runMsAt: 0,
 				avoidUntil: 0,
+				answeredAt: -Infinity,
 				failShare: 0,
 				failShareAt: 0,
 				coldTokens: 0,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -280,7 +280,15 @@
 } from './gateway/key-traffic.js';
 export {planLoadMoves} from './gateway/load-plan.js';
 export {LapseHold} from './gateway/lapse-hold.js';
-export {serversInService, type ListedServer} from './gateway/listed-server.js';
+export {LeavingServers} from './gateway/leaving-servers.js';
+export {ServerHolds} from './gateway/server-holds.js';
+export {runKeyOf, type ServerRun} from './gateway/server-run.js';
+export {
+	chooseCandidates,
+	type Candidates,
+	type CandidateRules,
+} from './gateway/choose-candidates.js';
+export {serversByService, type ListedServer} from './gateway/listed-server.js';
 export {
 	type CallerLimits,
 	type RoutePart,
--- a/packages/daemon/src/gateway/exchange-context.ts
+++ b/packages/daemon/src/gateway/exchange-context.ts
@@ -4,6 +4,7 @@
 import {type ServerConnections} from '../requests/server-connections.js';
 import {type ServiceBudgets} from '../requests/service-budgets.js';
 import {type GatewayMetrics} from './gateway-metrics.js';
+import {type ServerNotices} from './server-notices.js';
 import {type ServerPicks} from './server-picks.js';
 import {type TrafficTask} from './traffic-task.js';
 import {type ViewTask} from './view-task.js';
@@ -16,6 +17,7 @@
 	readonly budgets: ServiceBudgets;
 	readonly clock: Clock;
 	readonly random: Random;
+	readonly notices: ServerNotices;
 	readonly metrics: GatewayMetrics;
 	readonly log: Log;
 };
--- a/packages/daemon/src/gateway/gateway-attempt.ts
+++ b/packages/daemon/src/gateway/gateway-attempt.ts
@@ -136,17 +136,16 @@
 	}
 
 	#checkHead({status, headers}: AnswerHead): AnswerVerdict {
-		const {picks, clock} = this.context;
+		const {picks, clock, notices} = this.context;
 		const {id, server} = this.plan;
-		const {requestId, notRun, encoded, load} = readAnswerMetadata(
-			status,
-			headers,
-		);
+		const metadata = readAnswerMetadata(status, headers);
+		const {requestId, notRun, encoded, load} = metadata;
 		if (requestId !== id) {
 			const message = `answer to request ${requestId ?? 'without an id'}`;
 			return {kind: 'unusable', message};
 		}
 
+		notices.record(server, metadata);
 		if (load) {
 			this.#load = load;
 			picks.loads.reported(server.backendServer, load, clock.now());
--- a/packages/daemon/src/gateway/gateway-entry-task.ts
+++ b/packages/daemon/src/gateway/gateway-entry-task.ts
@@ -18,6 +18,7 @@
 import {GatewayExchange} from './gateway-exchange.js';
 import {GatewayMetrics, metricsPath} from './gateway-metrics.js';
 import {sendEnd} from './request-end.js';
+import {ServerNotices} from './server-notices.js';
 import {ServerPicks} from './server-picks.js';
 import {TrafficTask} from './traffic-task.js';
 import {ViewTask} from './view-task.js';
@@ -54,6 +55,7 @@
 		@inject('Deployment') private readonly deployment: Deployment,
 		@inject(ViewTask) view: ViewTask,
 		@inject(ServerPicks) picks: ServerPicks,
+		@inject(ServerNotices) notices: ServerNotices,
 		@inject(TrafficTask) traffic: TrafficTask,
 		@inject('Clock') private readonly clock: Clock,
 		@inject('Random') random: Random,
@@ -72,6 +74,7 @@
 		this.#context = {
 			view,
 			picks,
+			notices,
 			traffic,
 			connections,
 			budgets,
--- a/packages/daemon/src/gateway/keepers-task.ts
+++ b/packages/daemon/src/gateway/keepers-task.ts
@@ -15,6 +15,7 @@
 import {KeeperLease} from './keeper-lease.js';
 import {KeyKeeper} from './key-keeper.js';
 import {KindFollower} from './kind-follower.js';
+import {ServerNotices} from './server-notices.js';
 import {ViewTask} from './view-task.js';
 
 /** Between two attempts to register; jittered, because all daemons try at once after an outage of the store. */
@@ -35,6 +36,7 @@
 
 	constructor(
 		@inject(ViewTask) private readonly view: ViewTask,
+		@inject(ServerNotices) private readonly notices: ServerNotices,
 		@inject('Store') private readonly store: ObjectStore,
 		@inject('KeyOrders') private readonly orders: KeyOrders,
 		@inject('Deployment') private readonly deployment: Deployment,
@@ -176,7 +178,10 @@
 			clock,
 			log,
 			listed,
-			servers: () => view.view.value.inService.get(service) ?? [],
+			servers: () =>
+				(view.view.value.inService.get(service) ?? []).filter(
+					(server) => !this.notices.leaving.has(server),
+				),
 			traffic: () => this.#traffic.of(service),
 		});
 		lease.update(this.#leases.objects.value?.get(service));
--- a/packages/daemon/src/gateway/request-end.ts
+++ b/packages/daemon/src/gateway/request-end.ts
@@ -13,6 +13,8 @@
 	| 'no-server'
 	| 'no-owner'
 	| 'overloaded'
+	/** Every server that may have the request wants none for a while. */
+	| 'held'
 	| 'declined'
 	| 'lost'
 	| 'timeout'
--- /dev/null
+++ b/packages/daemon/src/gateway/server-notices.ts
@@ -0,0 +1,113 @@
+/** What backend servers announce about themselves: that they are leaving, or want no requests for a while. */
+import {
+	chooseCandidates,
+	LeavingServers,
+	ServerHolds,
+	runKeyOf,
+	type Candidates,
+	type Clock,
+	type ListedServer,
+	type Millis,
+} from '@kingcuproute/core';
+import {type AnswerMetadata, type Deployment} from '@kingcuproute/platform';
+import {inject, singleton} from 'tsyringe';
+import {Log} from '../log/log.js';
+import {GatewayMetrics} from './gateway-metrics.js';
+import {ViewTask} from './view-task.js';
+
+/** After a failed call to the store, entries that arrive within this time may have changed long before. */
+const catchUpMs: Millis = 6000;
+/** Share of the time that the platform allows within which a leaving server still gets requests that no other server can take. */
+const leavingShare = 0.5;
+/** Malformed fields are logged once for each server and field, up to this many. */
+const maxMalformedLogged = 1000;
+
+export type Notice = Pick<AnswerMetadata, 'leaving' | 'holdMs' | 'malformed'>;
+
+@singleton()
+export class ServerNotices {
+	readonly leaving = new LeavingServers();
+	readonly holds = new ServerHolds();
+	/** The runs that were not leaving when the entries were last read. */
+	#staying: ReadonlySet<string> = new Set();
+	readonly #malformedLogged = new Set<string>();
+
+	constructor(
+		@inject(ViewTask) private readonly view: ViewTask,
+		@inject('Deployment') private readonly deployment: Deployment,
+		@inject('Clock') private readonly clock: Clock,
+		@inject(GatewayMetrics) private readonly metrics: GatewayMetrics,
+		@inject(Log) private readonly log: Log,
+	) {
+		view.view.subscribe(({servers = []}) => {
+			this.#recordEntries(servers);
+		});
+	}
+
+	/** The servers among `serving` that may get a request now. */
+	candidates(serving: readonly ListedServer[]): Candidates {
+		const {leaving, holds, deployment, clock} = this;
+		const leavingMs = deployment.bounds.drainMs * leavingShare;
+		return chooseCandidates(serving, {leaving, holds, leavingMs}, clock.now());
+	}
+
+	/** Records what came with an answer of the server. */
+	record(server: ListedServer, {leaving, holdMs, malformed}: Notice): void {
+		if (leaving) {
+			this.#recordLeaving(server, this.clock.now(), 'answer');
+		}
+
+		if (holdMs !== undefined) {
+			const {service, backendServer} = server;
+			this.holds.hold(server, holdMs, this.clock.now());
+			this.metrics.serverNotice('hold');
+			this.log.info('server-held', {service, backendServer, holdMs});
+		}
+
+		for (const field of malformed) {
+			this.#recordMalformed(server, field);
+		}
+	}
+
+	#recordEntries(servers: readonly ListedServer[]): void {
+		const now = this.clock.now();
+		const isCurrent = now - this.view.serversFailedAt > catchUpMs;
+		for (const server of servers.filter(({draining}) => draining)) {
+			const wasStaying = this.#staying.has(runKeyOf(server));
+			const since = isCurrent && wasStaying ? now : -Infinity;
+			this.#recordLeaving(server, since, 'entry');
+		}
+
+		this.#staying = new Set(
+			servers
+				.filter(({draining}) => !draining)
+				.map((server) => runKeyOf(server)),
+		);
+		this.leaving.prune(servers, now);
+		this.holds.prune(now);
+	}
+
+	#recordLeaving(
+		server: ListedServer,
+		since: Millis,
+		by: 'answer' | 'entry',
+	): void {
+		if (this.leaving.add(server, since, this.clock.now())) {
+			const {service, backendServer} = server;
+			this.metrics.serverNotice('leaving');
+			this.log.info('server-leaving', {service, backendServer, by});
+		}
+	}
+
+	#recordMalformed({backendServer}: ListedServer, field: string): void {
+		this.metrics.serverNotice('malformed');
+		const key = `${backendServer} ${field}`;
+		if (
+			!this.#malformedLogged.has(key) &&
+			this.#malformedLogged.size < maxMalformedLogged
+		) {
+			this.#malformedLogged.add(key);
+			this.log.warn('answer-field-ignored', {backendServer, field});
+		}
+	}
+}
--- a/packages/daemon/src/gateway/server-picks.ts
+++ b/packages/daemon/src/gateway/server-picks.ts
@@ -12,6 +12,7 @@
 import {Left, Right, type Either} from 'purify-ts';
 import {inject, singleton} from 'tsyringe';
 import {type RequestEnd} from './request-end.js';
+import {ServerNotices} from './server-notices.js';
 import {ViewTask} from './view-task.js';
 
 /** What the choice of a request's server depends on. */
@@ -38,8 +39,9 @@
 
 	constructor(
 		@inject(ViewTask) private readonly view: ViewTask,
+		@inject(ServerNotices) private readonly notices: ServerNotices,
 		@inject('Clock') private readonly clock: Clock,
-		@inject('Random') random: Random,
+		@inject('Random') private readonly random: Random,
 	) {
 		this.loads = new ServerLoads(random);
 		view.view.subscribe(({servers = []}) => {
@@ -84,30 +86,63 @@
 			});
 		}
 
-		return this.#admit(service, [owner]);
+		return this.#admit(service, [owner], 'no-owner');
 	}
 
 	#pickAny({service, tried}: PickCriteria): Either<RequestEnd, ListedServer> {
-		const serving = this.#inService(service).filter(
+		const untried = this.#inService(service).filter(
 			({backendServer}) => !tried.includes(backendServer),
 		);
-		if (serving.length === 0) {
-			const reason = tried.length > 0 ? 'declined' : 'no-server';
-			return Left({reason, notRun: true, retryAfterMs: overloadedRetryMs});
+		const isRetry = tried.length > 0;
+		return this.#admit(
+			service,
+			untried,
+			isRetry ? 'declined' : 'no-server',
+			isRetry,
+		);
+	}
+
+	/** Chooses among `serving`; `reasonIfNone` is why there is no server if none of them may get requests. */
+	#admit(
+		service: RoutedService,
+		serving: readonly ListedServer[],
+		reasonIfNone: 'no-owner' | 'no-server' | 'declined',
+		isRetry = false,
+	): Either<RequestEnd, ListedServer> {
+		const {servers, heldMs} = this.notices.candidates(serving);
+		if (servers.length > 0) {
+			return this.#chooseByLoad(service, servers, isRetry);
 		}
 
-		const warm = serving.filter(({coldMs}) => coldMs === 0);
-		return this.#admit(service, warm.length > 0 ? warm : serving);
+		return heldMs === undefined
+			? Left({
+					reason: reasonIfNone,
+					notRun: true,
+					retryAfterMs:
+						reasonIfNone === 'no-owner' ? noOwnerRetryMs : overloadedRetryMs,
+				})
+			: Left({
+					reason: 'held',
+					notRun: true,
+					// Spread, so that the callers do not all return when the hold ends.
+					retryAfterMs: heldMs + this.random.fraction() * overloadedRetryMs,
+				});
 	}
 
 	/** Cold servers are sent only a few requests a second by all daemons together. */
-	#admit(
+	#chooseByLoad(
 		{coldRate}: RoutedService,
-		candidates: readonly ListedServer[],
+		servers: readonly ListedServer[],
+		isRetry: boolean,
 	): Either<RequestEnd, ListedServer> {
 		const now = this.clock.now();
 		const rate = coldRate / this.view.view.value.daemons;
-		const server = this.loads.choose(candidates, now);
+		const warm = servers.filter(({coldMs}) => coldMs === 0);
+		const server = this.loads.choose(
+			warm.length > 0 ? warm : servers,
+			now,
+			isRetry,
+		);
 		const isAdmitted =
 			server &&
 			(server.coldMs === 0 ||
--- a/packages/daemon/src/gateway/view-task.ts
+++ b/packages/daemon/src/gateway/view-task.ts
@@ -3,7 +3,7 @@
 	fold,
 	LapseHold,
 	RouteTable,
-	serversInService,
+	serversByService,
 	type Validated,
 	type Clock,
 	type Fault,
@@ -38,7 +38,7 @@
 	readonly routes: RouteTable | undefined;
 	/** Undefined until they have been read once. */
 	readonly servers: readonly ListedServer[] | undefined;
-	/** Servers that may be sent requests, by service. */
+	/** The servers in failure domains in service, by service. Some may be leaving. */
 	readonly inService: ReadonlyMap<string, readonly ListedServer[]>;
 	readonly rangeTables: ReadonlyMap<string, RangeTable>;
 	/** Number of daemons that share the backend servers; at least one. */
@@ -130,6 +130,11 @@
 		});
 	}
 
+	/** When a call for the entries of backend servers last failed; -Infinity if none has. */
+	get serversFailedAt(): Millis {
+		return this.#servers.lastFailureAt;
+	}
+
 	/** Sets whether changes of backend servers arrive without delay: the keeper of their keys acts on each. */
 	followServersClosely(closely: boolean): void {
 		this.#servers.gatherMs = closely ? 0 : gatherServersMs;
@@ -200,7 +205,7 @@
 	}
 
 	#inService(servers: readonly ListedServer[]) {
-		return serversInService(servers, this.#evacuated);
+		return serversByService(servers, this.#evacuated);
 	}
 
 	#parseAll<T>(
--- /dev/null
+++ b/packages/fakes/test/gateway-notices.test.ts
@@ -0,0 +1,118 @@
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import test from 'ava';
+import {createSite, sendAnswer} from './gateway-site.js';
+import {until} from './requests-fixture.js';
+
+/** Declines a request as a full server does, with fields of its own. */
+function decline(
+	req: IncomingMessage,
+	res: ServerResponse,
+	fields: Record<string, string>,
+): void {
+	res.writeHead(503, {
+		'x-kingcuproute-request-id': String(
+			req.headers['x-kingcuproute-request-id'],
+		),
+		'x-kingcuproute-not-executed': '1',
+		...fields,
+	});
+	res.end();
+}
+
+test('a server that says it is leaving gets no further requests, though its entry says ready', async (t) => {
+	const site = createSite(t);
+	const runs: string[] = [];
+	for (const name of ['i-1', 'i-2']) {
+		await site.addServer(name, 'plain', (req, res, body) => {
+			runs.push(name);
+			const fields = name === 'i-1' ? {'server-leaving': '1'} : undefined;
+			sendAnswer(req, res, body, fields);
+		});
+	}
+
+	await site.start();
+	await until(async () => {
+		await site.statusOf('/read/x');
+		return runs.includes('i-1');
+	});
+	runs.length = 0;
+	for (let count = 0; count < 20; count++) {
+		t.is(await site.statusOf('/read/x'), 200);
+	}
+
+	t.false(runs.includes('i-1'));
+	await site.line('event=server-leaving');
+});
+
+test('the only server of a service is used for a while after it says that it leaves, and then no longer', async (t) => {
+	const site = createSite(t);
+	await site.addServer('i-1', 'plain', (req, res, body) => {
+		sendAnswer(req, res, body, {'server-leaving': '1'});
+	});
+	await site.start();
+	t.is(await site.statusOf('/read/x'), 200);
+	const leavingSince = performance.now();
+	t.is(await site.statusOf('/read/x'), 200);
+	await until(async () => (await site.statusOf('/read/x')) === 503);
+	t.true(performance.now() - leavingSince < 2000, 'within drainMs');
+	const refused = await site.send('/book/x', {}, 'b');
+	t.is(refused.status, 503);
+	t.true(Number(refused.headers['retry-after']) > 0);
+});
+
+test('a server that asks for a pause gets none of the requests that follow, and if all do, callers are told at once when to return', async (t) => {
+	const site = createSite(t);
+	const runs: string[] = [];
+	const pausing = new Set(['i-1']);
+	for (const name of ['i-1', 'i-2']) {
+		await site.addServer(name, 'plain', (req, res, body) => {
+			runs.push(name);
+			if (pausing.has(name)) {
+				decline(req, res, {'retry-after': '30'});
+			} else {
+				sendAnswer(req, res, body);
+			}
+		});
+	}
+
+	await site.start();
+	for (let count = 0; count < 20; count++) {
+		t.is(await site.statusOf('/book/x', {}, 'b'), 200);
+	}
+
+	t.true(runs.filter((name) => name === 'i-1').length <= 1);
+	pausing.add('i-2');
+	t.is(await site.statusOf('/book/x', {}, 'b'), 503);
+	const count = runs.length;
+	const sentAt = performance.now();
+	const {status, headers, text} = await site.send('/book/x', {}, 'b');
+	t.is(status, 503);
+	t.regex(text, /held/);
+	t.true(performance.now() - sentAt < 500, 'refused at once');
+	const retryAfterS = Number(headers['retry-after']);
+	t.true(retryAfterS > 25 && retryAfterS < 31, `${retryAfterS} s`);
+	t.is(runs.length, count);
+});
+
+test('malformed announcements of a server are ignored, and logged once', async (t) => {
+	const site = createSite(t);
+	await site.addServer('i-1', 'plain', (req, res, body) => {
+		const isRefused = body === 'refused';
+		const fields = {'server-leaving': 'soon', 'retry-after': '-1'};
+		if (isRefused) {
+			decline(req, res, fields);
+		} else {
+			sendAnswer(req, res, body, fields);
+		}
+	});
+	await site.start();
+	for (let count = 0; count < 3; count++) {
+		t.is(await site.statusOf('/book/x', {}, 'refused'), 503);
+		t.is(await site.statusOf('/book/x', {}, 'b'), 200);
+	}
+
+	const ignored = site
+		.log()
+		.filter((line) => line.includes('event=answer-field-ignored'));
+	t.is(ignored.length, 2);
+});
--- a/packages/fakes/test/gateway-site.ts
+++ b/packages/fakes/test/gateway-site.ts
@@ -141,6 +141,7 @@
 			'platform.platform.writesPerS=400',
 			'platform.platform.readsPerS=2000',
 			'terms.bounds.graceS=6',
+			'terms.bounds.drainMs=2000',
 			'terms.bounds.holdMaxMs=10000',
 			'terms.bounds.retryBudgetRatio=0.2',
 			'terms.bounds.retryBudgetSlack=62',
--- a/packages/platform/src/deployment.ts
+++ b/packages/platform/src/deployment.ts
@@ -42,6 +42,8 @@
 	readonly bounds: {
 		/** Time from SIGTERM to SIGKILL. */
 		readonly stopMs: Millis;
+		/** Time from the report that a backend server is leaving until it may get no new requests. */
+		readonly drainMs: Millis;
 		/** Longest allowed lease on keys. */
 		readonly maxLeaseMs: Millis;
 		/** Retry budget: sends of requests after their first, as a share of the requests in `retryWindowMs`, over all daemons. */
@@ -53,6 +55,8 @@
 };
 
 const secondMs: Millis = 1000;
+/** For a platform that states no such bound. */
+const defaultDrainMs: Millis = 2000;
 const megabyteLen = 1_048_576;
 
 const numeric = z
@@ -92,6 +96,7 @@
 	terms: table({
 		bounds: table({
 			graceS: numeric,
+			drainMs: numeric.optional(),
 			holdMaxMs: numeric,
 			retryBudgetRatio: numeric,
 			retryBudgetSlack: numeric,
@@ -176,6 +181,7 @@
 		serverReportMs: platform.heartbeatMs,
 		bounds: {
 			stopMs: bounds.graceS * secondMs,
+			drainMs: bounds.drainMs ?? defaultDrainMs,
 			maxLeaseMs: bounds.holdMaxMs,
 			retryShare: bounds.retryBudgetRatio,
 			retrySlack: bounds.retryBudgetSlack,
--- a/packages/platform/src/request-fields.ts
+++ b/packages/platform/src/request-fields.ts
@@ -1,4 +1,5 @@
 /** The header fields of requests and answers that the platform defines. */
+import {type Millis} from '@kingcuproute/core';
 
 export const requestFields = {
 	requestId: 'x-kingcuproute-request-id',
@@ -17,6 +18,10 @@
 	server: 'x-kingcuproute-instance-id',
 	/** Time for which the server will still be cold, in ms. */
 	coldMs: 'x-kingcuproute-cold-ms',
+	/** The server is about to stop. */
+	leaving: 'server-leaving',
+	/** With a refusal: for how many seconds the server wants no requests. */
+	retryAfter: 'retry-after',
 	/** Data that a server returns when it releases keys, for their next holder. */
 	handover: 'x-kingcuproute-handover',
 } as const;
@@ -54,13 +59,39 @@
 	/** The body has a content encoding, which no server should use. */
 	readonly encoded: boolean;
 	readonly load: ServerLoad | undefined;
+	/** The server is about to stop. */
+	readonly leaving: boolean;
+	/** How long the server wants no requests, if it refused this one for that reason. */
+	readonly holdMs: Millis | undefined;
+	/** The fields that were ignored because they can't be read. */
+	readonly malformed: readonly string[];
 };
 
-type AnswerHeaders = Readonly<
-	Record<string, string | readonly string[] | undefined>
->;
+type HeaderValue = string | readonly string[] | undefined;
+
+type AnswerHeaders = Readonly<Record<string, HeaderValue>>;
 
 const misdirectedStatus = 421;
+const unavailableStatus = 503;
+const secondMs: Millis = 1000;
+/** Seconds; more digits than any sensible duration has are malformed. */
+const duration = /^\d{1,9}(\.\d{1,9})?$/;
+
+/** Whether the field that announces a stop is set; undefined if it is malformed. */
+export function parseLeaving(value: HeaderValue): boolean | undefined {
+	if (value === undefined || value === '0') {
+		return false;
+	}
+
+	return value === '1' ? true : undefined;
+}
+
+/** The duration in the field, in ms; undefined if it is malformed. */
+export function parseRetryAfter(value: HeaderValue): Millis | undefined {
+	return typeof value === 'string' && duration.test(value)
+		? Number(value) * secondMs
+		: undefined;
+}
 
 /** Reads the metadata of an answer, whose field names must be in lower case. */
 export function readAnswerMetadata(
@@ -72,11 +103,24 @@
 		return typeof value === 'string' ? value : undefined;
 	};
 
+	const leaving = parseLeaving(headers[answerFields.leaving]);
+	const retryAfter =
+		status === unavailableStatus ? headers[answerFields.retryAfter] : undefined;
+	const holdMs = parseRetryAfter(retryAfter);
+	const malformed = [
+		...(leaving === undefined ? [answerFields.leaving] : []),
+		...(retryAfter !== undefined && holdMs === undefined
+			? [answerFields.retryAfter]
+			: []),
+	];
 	return {
 		requestId: text(requestFields.requestId),
 		notRun:
 			status === misdirectedStatus || text(answerFields.notRun) !== undefined,
 		encoded: headers['content-encoding'] !== undefined,
 		load: parseLoad(text(answerFields.load) ?? ''),
+		leaving: leaving === true,
+		holdMs,
+		malformed,
 	};
 }
--- a/packages/platform/test/decoding.test.ts
+++ b/packages/platform/test/decoding.test.ts
@@ -210,6 +210,9 @@
 			notRun: true,
 			encoded: false,
 			load: {running: 3, waiting: 1, slots: 3, slowness: 2.5},
+			leaving: false,
+			holdMs: undefined,
+			malformed: [],
 		},
 	);
 	t.true(readAnswerMetadata(421, {}).notRun);
@@ -220,6 +223,39 @@
 	}
 });
 
+test('an answer shows that its server leaves, and for how long it wants no requests; malformed fields are ignored and named', (t) => {
+	const metadata = (status: number, headers: Record<string, string>) =>
+		readAnswerMetadata(status, headers);
+	t.true(metadata(200, {'server-leaving': '1'}).leaving);
+	t.is(metadata(503, {'retry-after': '5'}).holdMs, 5000);
+	t.is(metadata(503, {'retry-after': '0.25'}).holdMs, 250);
+	t.is(metadata(200, {'retry-after': '5'}).holdMs, undefined);
+	for (const value of [
+		'',
+		'-1',
+		'1e9',
+		'Infinity',
+		'NaN',
+		'0x10',
+		'9'.repeat(400),
+		'Sat, 05 Dec 2026 15:00:00 GMT',
+	]) {
+		const {holdMs, malformed} = metadata(503, {'retry-after': value});
+		t.is(holdMs, undefined, `value ${value}`);
+		t.deepEqual(malformed, ['retry-after'], `value ${value}`);
+	}
+
+	for (const value of ['', 'yes', '1, 1', '-1']) {
+		const {leaving, malformed} = metadata(200, {'server-leaving': value});
+		t.false(leaving, `value ${value}`);
+		t.deepEqual(malformed, ['server-leaving'], `value ${value}`);
+	}
+
+	const doubled = readAnswerMetadata(503, {'retry-after': ['1', '2']});
+	t.deepEqual(doubled.malformed, ['retry-after']);
+	t.deepEqual(metadata(200, {}).malformed, []);
+});
+
 /** A copy of the value in which the part at `path` is replaced by `by`. */
 function corrupted(
 	value: unknown,
