--- a/packages/daemon/src/gateway/keepers-task.ts
+++ b/packages/daemon/src/gateway/keepers-task.ts
@@ -182,6 +182,9 @@
 				(view.view.value.inService.get(service) ?? []).filter(
 					(server) => !this.notices.leaving.has(server),
 				),
+			onLeaving: (server) => {
+				this.notices.recordLeaving(server);
+			},
 			traffic: () => this.#traffic.of(service),
 		});
 		lease.update(this.#leases.objects.value?.get(service));
--- a/packages/daemon/src/gateway/key-grants.ts
+++ b/packages/daemon/src/gateway/key-grants.ts
@@ -36,10 +36,14 @@
 	readonly log: Log;
 	/** All servers of the service, including those that are leaving. */
 	readonly listed: () => readonly ListedServer[];
+	/** Called with each server that announces in an answer that it is leaving. */
+	readonly onLeaving: (server: ListedServer) => void;
 };
 
 /** The leases of one run of a server, as far as this daemon knows. */
 type ServerRun = {
+	/** The newest entry of the run, which may have been removed since. */
+	listed: ListedServer | undefined;
 	ledger: GrantLedger;
 	renewedAt: Millis;
 	/** Whether the run is known to be over. */
@@ -96,6 +100,7 @@
 	renew(server: ListedServer, ranges: readonly KeyRange[]): void {
 		const now = this.context.clock.now();
 		const run = this.#runOf(server.backendServer, server.startedAt);
+		run.listed = server;
 		if (ranges.length > 0 && !run.ended && now - run.renewedAt >= renewMs) {
 			run.renewedAt = now;
 			for (const range of ranges) {
@@ -193,6 +198,7 @@
 		const end = await orders.grant(server, order, orderTimeoutMs);
 		run.ledger = afterGrant(run.ledger, sent, end, clock.now());
 		run.ended ||= end.kind === 'ended';
+		this.#noteLeaving(server, end);
 		if (end.kind !== 'taken') {
 			const keys = {service, backendServer, from, to, fence};
 			const message = end.kind === 'unknown' ? end.message : undefined;
@@ -210,9 +216,10 @@
 		const {clock, orders, listed, log, lease, service} = this.context;
 		const {owner: backendServer, fence} = holder;
 		const keys = {service, backendServer, from, to, fence};
-		const server = listed().find((listedServer) =>
-			isHeldBy(holder, listedServer),
-		);
+		// A server whose entry has lapsed, or that leaves without a report, may still answer.
+		const server =
+			listed().find((listedServer) => isHeldBy(holder, listedServer)) ??
+			run.listed;
 		if (!server) {
 			log.info('holder-gone', keys);
 			return undefined;
@@ -224,7 +231,11 @@
 		}
 
 		const order = {from, to, fence};
-		const end = await orders.release(server, order, releaseTimeoutMs);
+		// Once the lease has expired, the keys are free without an answer.
+		const leftMs = Math.max(1, run.ledger.overAt(from, to) - clock.now());
+		const timeoutMs = Math.min(releaseTimeoutMs, leftMs);
+		const end = await orders.release(server, order, timeoutMs);
+		this.#noteLeaving(server, end);
 		const message = end.kind === 'unknown' ? end.message : undefined;
 		log.info('keys-released', {...keys, end: end.kind, message});
 		run.ended ||= end.kind === 'ended';
@@ -234,11 +245,18 @@
 			: undefined;
 	}
 
+	#noteLeaving(server: ListedServer, end: OrderOutcome): void {
+		if (end.kind === 'taken' && end.leaving) {
+			this.context.onLeaving(server);
+		}
+	}
+
 	#runOf(server: string, startedAt: number): ServerRun {
 		const id = `${server}\n${startedAt}`;
 		let run = this.#runs.get(id);
 		if (!run) {
 			run = {
+				listed: undefined,
 				ledger: GrantLedger.empty,
 				renewedAt: -Infinity,
 				ended: false,
--- a/packages/daemon/src/gateway/server-notices.ts
+++ b/packages/daemon/src/gateway/server-notices.ts
@@ -51,10 +51,15 @@
 		return chooseCandidates(serving, {leaving, holds, leavingMs}, clock.now());
 	}
 
+	/** Records that the server announced its leaving in an answer. */
+	recordLeaving(server: ListedServer): void {
+		this.#addLeaving(server, this.clock.now(), 'answer');
+	}
+
 	/** Records what came with an answer of the server. */
 	record(server: ListedServer, {leaving, holdMs, malformed}: Notice): void {
 		if (leaving) {
-			this.#recordLeaving(server, this.clock.now(), 'answer');
+			this.recordLeaving(server);
 		}
 
 		if (holdMs !== undefined) {
@@ -75,7 +80,7 @@
 		for (const server of servers.filter(({draining}) => draining)) {
 			const wasStaying = this.#staying.has(runKeyOf(server));
 			const since = isCurrent && wasStaying ? now : -Infinity;
-			this.#recordLeaving(server, since, 'entry');
+			this.#addLeaving(server, since, 'entry');
 		}
 
 		this.#staying = new Set(
@@ -87,7 +92,7 @@
 		this.holds.prune(now);
 	}
 
-	#recordLeaving(
+	#addLeaving(
 		server: ListedServer,
 		since: Millis,
 		by: 'answer' | 'entry',
--- a/packages/daemon/test/gateway-keeper.test.ts
+++ b/packages/daemon/test/gateway-keeper.test.ts
@@ -35,6 +35,27 @@
 	t.true(sampleKeys.every((key) => orders.holdersOf(key)[0] === 'b'));
 });
 
+test('keys of a server that is no longer listed but still answers move as soon as it has released them', async (t) => {
+	const {orders, pass, list} = startFleet(['x', 'y'], ['a', 'b']);
+	await pass(1500, () => undefined);
+	list(['b']);
+	await pass(1000, () => {
+		t.true(sampleKeys.every((key) => orders.holdersOf(key).length <= 1));
+	});
+	t.true(sampleKeys.every((key) => orders.holdersOf(key)[0] === 'b'));
+	t.is(orders.fenceViolations.length, 0);
+});
+
+test('keys of a server that announces in its answers that it is leaving move at the next renewal', async (t) => {
+	const {orders, pass} = startFleet(['x', 'y'], ['a', 'b']);
+	await pass(1500, () => undefined);
+	orders.leaving.add('a');
+	await pass(2000, () => {
+		t.true(sampleKeys.every((key) => orders.holdersOf(key).length <= 1));
+	});
+	t.true(sampleKeys.every((key) => orders.holdersOf(key)[0] === 'b'));
+});
+
 test('keys that move to a new server never have two holders', async (t) => {
 	const {orders, pass, list} = startFleet(['x', 'y'], ['a', 'b']);
 	await pass(1500, () => undefined);
--- a/packages/daemon/test/gateway-keepers.ts
+++ b/packages/daemon/test/gateway-keepers.ts
@@ -34,6 +34,8 @@
 	readonly late = new Map<string, Millis>();
 	/** Servers that answer nothing and keep their leases. */
 	readonly silent = new Set<string>();
+	/** Servers that announce in their answers that they are leaving. */
+	readonly leaving = new Set<string>();
 	/** Servers that refuse connections. */
 	readonly refusing = new Set<string>();
 	/** How long orders to a server take to arrive. */
@@ -92,7 +94,11 @@
 			return {kind: 'unknown', message: 'no answer'};
 		}
 
-		return {kind: 'taken', handover: undefined};
+		return {
+			kind: 'taken',
+			handover: undefined,
+			leaving: this.leaving.has(address),
+		};
 	}
 
 	override async release(
@@ -114,7 +120,11 @@
 			return {kind: 'unknown', message: 'no answer'};
 		}
 
-		return {kind: 'taken', handover: `from ${address}`};
+		return {
+			kind: 'taken',
+			handover: `from ${address}`,
+			leaving: this.leaving.has(address),
+		};
 	}
 
 	/** Addresses of the servers that hold `key` now. */
@@ -301,6 +311,8 @@
 	const manualClock = new ManualClock();
 	const shared = new MemoryStore('', new RunClock(manualClock));
 	const orders = new FencingServers(manualClock);
+	/** Servers that have told a daemon that they are leaving. */
+	const announced = new Set<string>();
 	let servers = names.map((name) => listedServer(name));
 	let listed = servers;
 	let traffic: KeyTraffic = {rates: new Map(), runMs: new Map()};
@@ -315,7 +327,11 @@
 			orders: new RunOrders(orders, clock),
 			clock,
 			log,
-			servers: () => servers,
+			servers: () =>
+				servers.filter(({address}) => !announced.has(`${vm} ${address}`)),
+			onLeaving({address}) {
+				announced.add(`${vm} ${address}`);
+			},
 			listed: () => listed,
 			traffic: () => traffic,
 		});
--- a/packages/platform/src/key-orders.ts
+++ b/packages/platform/src/key-orders.ts
@@ -15,7 +15,7 @@
 import {type Agent} from 'undici';
 import {boundedAgent} from './bounded-connections.js';
 import {OrderAnswer, type AnsweredOrder} from './order-answer.js';
-import {answerFields, requestFields} from './request-fields.js';
+import {answerFields, parseLeaving, requestFields} from './request-fields.js';
 
 export type GrantOrder = FencedKeys & {
 	/** Lease duration, counted from the order's arrival at the server. */
@@ -25,7 +25,12 @@
 };
 
 export type OrderOutcome =
-	| {readonly kind: 'taken'; readonly handover: string | undefined}
+	| {
+			readonly kind: 'taken';
+			readonly handover: string | undefined;
+			/** The server is about to stop. */
+			readonly leaving: boolean;
+	  }
 	/** The server has seen a higher fence on one of the keys. */
 	| {readonly kind: 'outdated'}
 	/** The server may have accepted the order, or may accept it later. */
@@ -162,7 +167,8 @@
 		case okStatus: {
 			const handover = headers[answerFields.handover];
 			const text = typeof handover === 'string' ? handover : undefined;
-			return {kind: 'taken', handover: text};
+			const leaving = parseLeaving(headers[answerFields.leaving]) === true;
+			return {kind: 'taken', handover: text, leaving};
 		}
 
 		case misdirectedStatus: {
--- a/packages/platform/test/key-orders.test.ts
+++ b/packages/platform/test/key-orders.test.ts
@@ -88,7 +88,11 @@
 }
 
 const grantOrder = {...order, leaseMs: 5000};
-const taken: OrderOutcome = {kind: 'taken', handover: 'second'};
+const taken: OrderOutcome = {
+	kind: 'taken',
+	handover: 'second',
+	leaving: false,
+};
 
 for (const status of [409, 421] as const) {
 	test(`a repeated ${status} is not taken as the answer to the next grant`, async (t) => {
