--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -297,6 +297,8 @@
 	type RouteRule,
 	type RoutingConfig,
 } from './gateway/route-rule.js';
+export {mayStartBehind} from './gateway/pipeline.js';
+export {takesRequest, type StopPlan} from './gateway/stop-plan.js';
 export {drawService, RouteTable} from './gateway/route-table.js';
 export {
 	ServerLoads,
--- a/packages/daemon/src/gateway/exchange-context.ts
+++ b/packages/daemon/src/gateway/exchange-context.ts
@@ -1,5 +1,5 @@
 /** The services and state that all requests of the daemon share. */
-import {type Clock, type Random} from '@kingcuproute/core';
+import {type Clock, type Random, type StopPlan} from '@kingcuproute/core';
 import {type Log} from '../log/log.js';
 import {type ServerConnections} from '../requests/server-connections.js';
 import {type ServiceBudgets} from '../requests/service-budgets.js';
@@ -20,4 +20,6 @@
 	readonly notices: ServerNotices;
 	readonly metrics: GatewayMetrics;
 	readonly log: Log;
+	/** Undefined unless the daemon is stopping. */
+	readonly stopPlan: () => StopPlan | undefined;
 };
--- a/packages/daemon/src/gateway/gateway-attempt.ts
+++ b/packages/daemon/src/gateway/gateway-attempt.ts
@@ -1,5 +1,4 @@
 /** One attempt to have a request answered by a backend server, and what it shows about the server's load. */
-import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {
 	forwardedHeaders,
 	type AnswerHead,
@@ -17,6 +16,7 @@
 } from '@kingcuproute/platform';
 import {Attempt} from '../requests/attempt.js';
 import {type RequestBody} from '../requests/request-body.js';
+import {closeIfStopping, type CallerExchange} from './caller-exchange.js';
 import {type ExchangeContext} from './exchange-context.js';
 
 /** Bodies and answers up to this many bytes are held whole: several times the longest uploads of today's sites. */
@@ -51,8 +51,7 @@
 
 	constructor(
 		private readonly context: ExchangeContext,
-		private readonly req: IncomingMessage,
-		private readonly res: ServerResponse,
+		private readonly caller: CallerExchange,
 		private readonly plan: GatewayAttemptPlan,
 	) {}
 
@@ -108,11 +107,12 @@
 
 	#createAttempt(leftMs: Millis): Attempt {
 		const {connections, clock} = this.context;
+		const {req, res} = this.caller;
 		return new Attempt(
 			{
 				id: this.plan.id,
-				method: this.req.method ?? 'GET',
-				path: this.req.url ?? '/',
+				method: req.method ?? 'GET',
+				path: req.url ?? '/',
 				headers: [
 					...this.#headersToForward(),
 					requestFields.allowedMs,
@@ -125,12 +125,15 @@
 				answerTimeoutMs: leftMs,
 				idleMs: answerIdleMs,
 				holdLen,
-				claim: () => true,
+				claim: () => {
+					closeIfStopping(this.context, this.caller);
+					return true;
+				},
 				checkAnswer: (head) => this.#checkHead(head),
 				endIsReset: () => connections.endIsReset,
 				addedHeaders: [],
 			},
-			this.res,
+			res,
 			clock,
 		);
 	}
@@ -164,7 +167,7 @@
 	}
 
 	#headersToForward(): readonly string[] {
-		const all = forwardedHeaders(this.req.rawHeaders);
+		const all = forwardedHeaders(this.caller.req.rawHeaders);
 		return all.flatMap((text, index) =>
 			index % 2 === 0 && !ownHeaders.has(text.toLowerCase())
 				? [text, all[index + 1]]
--- a/packages/daemon/src/gateway/gateway-entry-task.ts
+++ b/packages/daemon/src/gateway/gateway-entry-task.ts
@@ -6,10 +6,11 @@
 	type ServerResponse,
 } from 'node:http';
 import {type AddressInfo} from 'node:net';
-import {type Clock, type Random} from '@kingcuproute/core';
+import {type Clock, type Random, type StopPlan} from '@kingcuproute/core';
 import {type Address, type Deployment} from '@kingcuproute/platform';
 import {inject, singleton} from 'tsyringe';
 import {Log} from '../log/log.js';
+import {type Turn} from '../requests/caller-connection.js';
 import {entryServer} from '../requests/entry-server.js';
 import {ServerConnections} from '../requests/server-connections.js';
 import {ServiceBudgets} from '../requests/service-budgets.js';
@@ -49,7 +50,7 @@
 	readonly #readiness: Server;
 	readonly #context: ExchangeContext;
 	#inFlight = 0;
-	#stopping = false;
+	#stopPlan: StopPlan | undefined;
 
 	constructor(
 		@inject('Deployment') private readonly deployment: Deployment,
@@ -82,14 +83,14 @@
 			random,
 			metrics,
 			log,
+			stopPlan: () => this.#stopPlan,
 		};
-		this.#entry = entryServer(entryBounds, (req, res) => {
+		this.#entry = entryServer(entryBounds, (req, res, turn) => {
 			this.#inFlight++;
-			res.once('close', () => {
+			turn.onceEnded(() => {
 				this.#inFlight--;
 			});
-			res.shouldKeepAlive = !this.#stopping && res.shouldKeepAlive;
-			void this.#exchange(req, res);
+			void this.#exchange(req, res, turn);
 		});
 		this.#readiness = createServer((req, res) => {
 			if (req.url === metricsPath) {
@@ -113,7 +114,7 @@
 
 	get isReady(): boolean {
 		const {routes, servers} = this.#context.view.view.value;
-		return !this.#stopping && routes !== undefined && servers !== undefined;
+		return !this.#stopPlan && routes !== undefined && servers !== undefined;
 	}
 
 	override async start(): Promise<void> {
@@ -130,12 +131,13 @@
 
 	/** Keeps answering until the load balancer has noticed, then finishes the requests in flight. */
 	override async stop(): Promise<void> {
-		const deadline = this.clock.now() + this.deployment.bounds.stopMs - exitMs;
-		this.#stopping = true;
+		const now = this.clock.now();
+		const endsAt = now + this.deployment.bounds.stopMs - exitMs;
+		this.#stopPlan = {noticedBy: now + noticeMs, endsAt};
 		await this.clock.sleep(noticeMs);
 		this.#entry.close();
 		this.#entry.closeIdleConnections();
-		while (this.#inFlight > 0 && this.clock.now() < deadline) {
+		while (this.#inFlight > 0 && this.clock.now() < endsAt) {
 			await this.clock.sleep(20);
 		}
 
@@ -149,9 +151,13 @@
 		res.end(text);
 	}
 
-	async #exchange(req: IncomingMessage, res: ServerResponse): Promise<void> {
+	async #exchange(
+		req: IncomingMessage,
+		res: ServerResponse,
+		turn: Turn,
+	): Promise<void> {
 		try {
-			await new GatewayExchange(this.#context, req, res).run();
+			await new GatewayExchange(this.#context, {req, res, turn}).run();
 		} catch (error) {
 			const {message, stack} = error as Error;
 			this.log.error('exchange-failed', {message, stack});
--- a/packages/daemon/src/gateway/gateway-exchange.ts
+++ b/packages/daemon/src/gateway/gateway-exchange.ts
@@ -3,11 +3,11 @@
  * Retries it at another server only where the route allows that and the request
  * either did not run or may safely run again.
  */
-import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {
 	drawService,
 	headerFault,
 	ranAfter,
+	takesRequest,
 	type AttemptEnd,
 	type ListedServer,
 	type Millis,
@@ -16,6 +16,7 @@
 } from '@kingcuproute/core';
 import {requestFields} from '@kingcuproute/platform';
 import {RequestBody} from '../requests/request-body.js';
+import {closeIfStopping, type CallerExchange} from './caller-exchange.js';
 import {type ExchangeContext} from './exchange-context.js';
 import {sendEnd, type RequestEnd} from './request-end.js';
 import {type PickCriteria} from './server-picks.js';
@@ -57,10 +58,10 @@
 
 	constructor(
 		private readonly context: ExchangeContext,
-		private readonly req: IncomingMessage,
-		private readonly res: ServerResponse,
+		private readonly caller: CallerExchange,
 	) {
-		res.once('close', () => {
+		const {res, turn} = caller;
+		turn.onceEnded(() => {
 			if (!res.writableFinished) {
 				this.#callerGone = true;
 				this.#attempt?.cancel();
@@ -72,8 +73,9 @@
 		const arrivedAt = this.context.clock.now();
 		const id = this.#header(requestFields.requestId) ?? '';
 		const end = await this.#route(id, arrivedAt);
-		if (!this.req.complete) {
-			RequestBody.drop(this.req);
+		const {req, res} = this.caller;
+		if (!req.complete) {
+			RequestBody.drop(req);
 		}
 
 		const {log, clock, metrics} = this.context;
@@ -89,7 +91,8 @@
 
 		metrics.requestEnded(service?.service, end.reason, tookMs);
 		log.routing('request-refused', {...fields, ...end});
-		sendEnd(this.res, end);
+		closeIfStopping(this.context, this.caller);
+		sendEnd(res, end);
 	}
 
 	async #route(id: string, arrivedAt: Millis): Promise<RequestEnd | undefined> {
@@ -103,7 +106,7 @@
 			};
 		}
 
-		const {rawHeaders, httpVersion, headers, url = '/'} = this.req;
+		const {rawHeaders, httpVersion, headers, url = '/'} = this.caller.req;
 		if (headerFault(rawHeaders, httpVersion) !== undefined || id === '') {
 			return {reason: 'bad-request', notRun: true};
 		}
@@ -142,6 +145,10 @@
 		}
 
 		await untilCloseIsRead();
+		if (!(await this.caller.turn.whenMayStart(rule.repeatability))) {
+			return undefined;
+		}
+
 		const key = service.keyed ? this.#readKey() : undefined;
 		const {version} = routes.config;
 		this.#request = {id, rule, service, key, body, arrivedAt, until, version};
@@ -151,7 +158,7 @@
 	/** Reads the body, or its first part if it is long; undefined if the caller has left. */
 	async #readBody(maxLen: number): Promise<RequestBody | undefined> {
 		try {
-			return await RequestBody.read(this.req, holdLen, maxLen);
+			return await RequestBody.read(this.caller.req, holdLen, maxLen);
 		} catch (error) {
 			// The caller aborted its request: there is nobody to answer.
 			this.context.log.info('body-cut', {error: String(error)});
@@ -165,6 +172,11 @@
 	): Promise<RequestEnd | undefined> {
 		const {picks, clock, budgets, traffic} = this.context;
 		const {service, key} = request;
+		const refusal = this.#refusalBeforeSending(request);
+		if (refusal) {
+			return refusal;
+		}
+
 		const budget = budgets.of(service.service);
 		if (service.keyed && key !== undefined) {
 			traffic.of(service.service).record(key, clock.now());
@@ -202,7 +214,7 @@
 			}
 
 			if (end.kind === 'cut' || end.kind === 'cancelled') {
-				this.res.destroy();
+				this.caller.res.destroy();
 				return undefined;
 			}
 
@@ -221,13 +233,27 @@
 		return undefined;
 	}
 
+	/** Why the request can't be answered in the time that it or this daemon has left. */
+	#refusalBeforeSending({until}: RoutedRequest): RequestEnd | undefined {
+		const {clock, stopPlan} = this.context;
+		const now = clock.now();
+		const plan = stopPlan();
+		if (plan && !takesRequest(plan, until, now)) {
+			return {reason: 'stopping', notRun: true, retryAfterMs: 0};
+		}
+
+		return until - now < minAttemptMs
+			? {reason: 'too-late', notRun: true, retryAfterMs: 0}
+			: undefined;
+	}
+
 	async #attemptAt(
 		server: ListedServer,
 		request: RoutedRequest,
 		number: number,
 	): Promise<AttemptEnd> {
 		const plan = {...request, server, number};
-		this.#attempt = new GatewayAttempt(this.context, this.req, this.res, plan);
+		this.#attempt = new GatewayAttempt(this.context, this.caller, plan);
 		return this.#attempt.run();
 	}
 
@@ -258,7 +284,7 @@
 	}
 
 	#header(name: string): string | undefined {
-		const value = this.req.headers[name];
+		const value = this.caller.req.headers[name];
 		return typeof value === 'string' ? value : undefined;
 	}
 }
--- a/packages/daemon/src/gateway/request-end.ts
+++ b/packages/daemon/src/gateway/request-end.ts
@@ -18,6 +18,10 @@
 	| 'declined'
 	| 'lost'
 	| 'timeout'
+	/** No time was left to send the request. */
+	| 'too-late'
+	/** The daemon stops before the request would have to be answered. */
+	| 'stopping'
 	| 'internal';
 
 /** How a request ended without an answer. `notRun` promises that it did not run and never will; otherwise it may have run. */
--- a/packages/daemon/src/requests/entry-server.ts
+++ b/packages/daemon/src/requests/entry-server.ts
@@ -1,18 +1,19 @@
 /**
  * The HTTP/1.1 listener for callers, with its limits. Input that the parser rejects is
- * answered 400 `not-run`, or 408 or 431, unless a request of that connection is already
- * in progress: then the connection is closed, as nothing proves that this request has
- * not run.
+ * answered 400 `not-run`, or 408 or 431, once the requests before it have been answered.
+ * If it is a part of a request that has begun, the connection is closed instead, as
+ * nothing proves that this request has not run.
  */
 import {
 	createServer,
 	type IncomingMessage,
-	type RequestListener,
 	type Server,
+	type ServerResponse,
 } from 'node:http';
 import {type Duplex} from 'node:stream';
 import {type Millis} from '@kingcuproute/core';
 import {type Settings} from '../settings/settings.js';
+import {CallerConnection, type Turn} from './caller-connection.js';
 
 const tcpKeepAliveMs: Millis = 5000;
 const checkMs: Millis = 1000;
@@ -28,12 +29,18 @@
 	'maxHeaderLen' | 'headerMs' | 'requestMs' | 'callerIdleMs'
 >;
 
+/** Handles a request; `turn` is its place among those of its connection. */
+export type EntryHandler = (
+	req: IncomingMessage,
+	res: ServerResponse,
+	turn: Turn,
+) => void;
+
 /** A server that passes each request with valid HTTP framing to `handle`. */
 export function entryServer(
 	settings: EntryBounds,
-	handle: RequestListener,
+	handle: EntryHandler,
 ): Server {
-	const requestsInProgress = new WeakMap<Duplex, IncomingMessage>();
 	const server = createServer(
 		{
 			requireHostHeader: false,
@@ -47,22 +54,29 @@
 			noDelay: true,
 		},
 		(req, res) => {
-			requestsInProgress.set(req.socket, req);
-			res.once('close', () => {
-				requestsInProgress.delete(req.socket);
-			});
-			handle(req, res);
+			handle(req, res, CallerConnection.of(req.socket).enter(req, res));
 		},
 	);
 	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-		if (requestsInProgress.has(socket) || !socket.writable) {
+		answerMalformed(socket, error);
+	});
+	return server;
+}
+
+function answerMalformed(socket: Duplex, error: NodeJS.ErrnoException): void {
+	const connection = CallerConnection.of(socket);
+	if (!socket.writable) {
+		socket.destroy();
+		return;
+	}
+
+	connection.afterAnswers(() => {
+		if (connection.isBusy || !socket.writable) {
 			socket.destroy();
-			return;
+		} else {
+			socket.end(refusalText(error));
 		}
-
-		socket.end(refusalText(error));
 	});
-	return server;
 }
 
 function refusalText({code = '', message}: NodeJS.ErrnoException): string {
--- a/packages/fakes/test/gateway-site.ts
+++ b/packages/fakes/test/gateway-site.ts
@@ -105,6 +105,11 @@
 		this.registerServer(name, service, port);
 	}
 
+	/** The port of the server that was added last. */
+	servedPort(): number {
+		return (this.#servers.at(-1)!.address() as AddressInfo).port;
+	}
+
 	/** Adds an entry for a server at this port to the store. */
 	registerServer(name: string, service: string, port: number, slots = 3): void {
 		this.store.put(
