--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -43,6 +43,7 @@
 	type TableChange,
 } from './ownership/table-change.js';
 export {type Ran, type Reason, type Refusal} from './requests/refusal.js';
+export {BufferBudget, BufferLease} from './requests/buffer-budget.js';
 export {isIdempotent} from './requests/method.js';
 export {
 	orderSchema,
--- a/packages/daemon/src/gateway/exchange-context.ts
+++ b/packages/daemon/src/gateway/exchange-context.ts
@@ -1,5 +1,10 @@
 /** The services and state that all requests of the daemon share. */
-import {type Clock, type Random, type StopPlan} from '@kingcuproute/core';
+import {
+	type BufferBudget,
+	type Clock,
+	type Random,
+	type StopPlan,
+} from '@kingcuproute/core';
 import {type Log} from '../log/log.js';
 import {type ServerConnections} from '../requests/server-connections.js';
 import {type ServiceBudgets} from '../requests/service-budgets.js';
@@ -15,6 +20,7 @@
 	readonly traffic: TrafficTask;
 	readonly connections: ServerConnections;
 	readonly budgets: ServiceBudgets;
+	readonly buffers: BufferBudget;
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly notices: ServerNotices;
--- a/packages/daemon/src/gateway/gateway-attempt.ts
+++ b/packages/daemon/src/gateway/gateway-attempt.ts
@@ -1,5 +1,6 @@
 /** One attempt to have a request answered by a backend server, and what it shows about the server's load. */
 import {
+	BufferLease,
 	forwardedHeaders,
 	type AnswerHead,
 	type AttemptEnd,
@@ -48,12 +49,18 @@
 	#attempt: Attempt | undefined;
 	/** The load that the server reported with its answer. */
 	#load: ServerLoad | undefined;
+	readonly #lease: BufferLease;
 
 	constructor(
 		private readonly context: ExchangeContext,
 		private readonly caller: CallerExchange,
 		private readonly plan: GatewayAttemptPlan,
-	) {}
+	) {
+		this.#lease = new BufferLease(context.buffers);
+		caller.turn.onceEnded(() => {
+			this.#lease.close();
+		});
+	}
 
 	/** Cancels the attempt; the server sees its connection close. */
 	cancel(): void {
@@ -94,6 +101,7 @@
 		}
 
 		if (end.kind !== 'answered') {
+			this.#lease.close();
 			const message = 'message' in end ? end.message : undefined;
 			log.info('attempt-failed', {id, backendServer, end: end.kind, message});
 		}
@@ -125,6 +133,7 @@
 				answerTimeoutMs: leftMs,
 				idleMs: answerIdleMs,
 				holdLen,
+				lease: this.#lease,
 				claim: () => {
 					closeIfStopping(this.context, this.caller);
 					return true;
--- a/packages/daemon/src/gateway/gateway-entry-task.ts
+++ b/packages/daemon/src/gateway/gateway-entry-task.ts
@@ -6,7 +6,12 @@
 	type ServerResponse,
 } from 'node:http';
 import {type AddressInfo} from 'node:net';
-import {type Clock, type Random, type StopPlan} from '@kingcuproute/core';
+import {
+	BufferBudget,
+	type Clock,
+	type Random,
+	type StopPlan,
+} from '@kingcuproute/core';
 import {type Address, type Deployment} from '@kingcuproute/platform';
 import {inject, singleton} from 'tsyringe';
 import {Log} from '../log/log.js';
@@ -79,6 +84,7 @@
 			traffic,
 			connections,
 			budgets,
+			buffers: new BufferBudget(deployment.bufferLen),
 			clock,
 			random,
 			metrics,
--- a/packages/daemon/src/gateway/gateway-exchange.ts
+++ b/packages/daemon/src/gateway/gateway-exchange.ts
@@ -4,6 +4,7 @@
  * either did not run or may safely run again.
  */
 import {
+	BufferLease,
 	drawService,
 	headerFault,
 	ranAfter,
@@ -158,7 +159,15 @@
 	/** Reads the body, or its first part if it is long; undefined if the caller has left. */
 	async #readBody(maxLen: number): Promise<RequestBody | undefined> {
 		try {
-			return await RequestBody.read(this.caller.req, holdLen, maxLen);
+			const lease = new BufferLease(this.context.buffers);
+			this.caller.turn.onceEnded(() => {
+				lease.close();
+			});
+			return await RequestBody.read(this.caller.req, {
+				replayLen: holdLen,
+				maxLen,
+				lease,
+			});
 		} catch (error) {
 			// The caller aborted its request: there is nobody to answer.
 			this.context.log.info('body-cut', {error: String(error)});
--- a/packages/daemon/src/requests/admission.ts
+++ b/packages/daemon/src/requests/admission.ts
@@ -3,6 +3,7 @@
  * has a route, it is not in quarantine, and its idempotency key has been granted to it.
  */
 import {
+	BufferLease,
 	fingerprintOf,
 	fold,
 	isIdempotent,
@@ -45,7 +46,11 @@
 		try {
 			const body = await Promise.race([
 				timeout,
-				RequestBody.read(req, replayLen, maxBodyLen),
+				RequestBody.read(req, {
+					replayLen,
+					maxLen: maxBodyLen,
+					lease: BufferLease.unlimited(),
+				}),
 			]);
 			return body ? Right(body) : Left(bodyIncomplete);
 		} catch {
--- a/packages/daemon/src/requests/attempt.ts
+++ b/packages/daemon/src/requests/attempt.ts
@@ -11,6 +11,7 @@
 	forwardedHeaders,
 	type AnswerHead,
 	type AttemptEnd,
+	type BufferLease,
 	type Cancel,
 	type Clock,
 	type AnswerVerdict,
@@ -50,6 +51,8 @@
 	readonly idleMs: Millis;
 	/** An answer is buffered until it is complete or longer than this many bytes, then passed on. */
 	readonly holdLen: number;
+	/** The memory for the buffered answer; without room in it the answer is passed on earlier. */
+	readonly lease: BufferLease;
 	/** Claims the caller's response for this attempt's answer; false if another attempt has it. */
 	readonly claim: () => boolean;
 	/** Decides from the status and headers whether an answer is passed on. */
@@ -228,7 +231,9 @@
 		}
 
 		this.#held.add(chunk);
-		return this.#held.len <= this.plan.holdLen || this.#flush();
+		const {holdLen, lease} = this.plan;
+		const mayHold = this.#held.len <= holdLen && lease.tryReserve(chunk.length);
+		return mayHold || this.#flush();
 	}
 
 	#beginAnswer(buffers: boolean): void {
@@ -282,6 +287,7 @@
 
 		const resume = () => {
 			stopWaiting();
+			this.plan.lease.release();
 			controller.resume();
 		};
 
--- a/packages/daemon/src/requests/request-body.ts
+++ b/packages/daemon/src/requests/request-body.ts
@@ -5,6 +5,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
+import {type BufferLease} from '@kingcuproute/core';
 
 /** The body is longer than `maxLen`. */
 export class BodyTooLong extends Error {}
@@ -12,12 +13,20 @@
 /** A body as undici accepts it. */
 export type BodySource = Uint8Array | AsyncIterable<Uint8Array> | null; // eslint-disable-line @typescript-eslint/no-restricted-types
 
+/** Limits of a body, in bytes. */
+export type BodyBounds = {
+	/** Longest part to buffer. */
+	readonly replayLen: number;
+	readonly maxLen: number;
+	/** The memory for the buffered part. */
+	readonly lease: BufferLease;
+};
+
 export class RequestBody {
-	/** Reads until more than `replayLen` bytes have arrived, or the whole body if it is not longer. */
+	/** Reads the whole body, or until more than `replayLen` bytes have arrived or `lease` has no room for more. */
 	static async read(
 		req: IncomingMessage,
-		replayLen: number,
-		maxLen: number,
+		{replayLen, maxLen, lease}: BodyBounds,
 	): Promise<RequestBody> {
 		const rest = req.iterator({
 			destroyOnReturn: false,
@@ -25,13 +34,15 @@
 		const parts: Uint8Array[] = [];
 		let len = 0;
 		let ended = false;
-		while (!ended && len <= replayLen) {
+		let hasRoom = true;
+		while (!ended && hasRoom && len <= replayLen) {
 			const next = await rest.next();
 			if (next.done) {
 				ended = true;
 			} else {
 				parts.push(next.value);
 				len += next.value.length;
+				hasRoom = lease.tryReserve(next.value.length);
 			}
 		}
 
--- a/packages/daemon/src/requests/server-attempt.ts
+++ b/packages/daemon/src/requests/server-attempt.ts
@@ -3,6 +3,7 @@
  * was lost, to the quarantine and to the connections of that server.
  */
 import {
+	BufferLease,
 	deadlineField,
 	forwardedHeaders,
 	checkAnswer,
@@ -86,6 +87,7 @@
 				answerTimeoutMs: deadline - clock.now(),
 				idleMs: answerIdleMs,
 				holdLen: replayLen,
+				lease: BufferLease.unlimited(),
 				claim: () => this.plan.claim(this),
 				checkAnswer: (head) => checkAnswer(id, method, head),
 				endIsReset: () => connections.endIsReset,
--- a/packages/fakes/test/caller-socket.ts
+++ b/packages/fakes/test/caller-socket.ts
@@ -60,6 +60,20 @@
 		this.socket.write(text);
 	}
 
+	/** Bytes received. */
+	get len(): number {
+		return this.#text.length;
+	}
+
+	/** Reads nothing until `resume`. */
+	pause(): void {
+		this.socket.pause();
+	}
+
+	resume(): void {
+		this.socket.resume();
+	}
+
 	/** Leaves without reading the answers. */
 	leave(): void {
 		this.socket.destroy();
--- /dev/null
+++ b/packages/fakes/test/gateway-slow-readers.test.ts
@@ -0,0 +1,89 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import test, {type ExecutionContext} from 'ava';
+import {CallerSocket} from './caller-socket.js';
+import {createSite, sendAnswer, siteConfig, type Site} from './gateway-site.js';
+import {until} from './requests-fixture.js';
+
+/** Memory of the smallest machine, in bytes. */
+const smallestMemoryLen = 250 * 1_048_576;
+/** About the longest answer that the daemon buffers whole, in bytes. */
+const answerLen = 1_000_000;
+const serverCount = 20;
+
+/** A site of long downloads, and of a service with short answers beside them. */
+async function startDownloads(t: ExecutionContext): Promise<Site> {
+	const site = createSite(t);
+	const body = 'x'.repeat(answerLen);
+	const begun = body.slice(answerLen / 10);
+	for (let index = 0; index < serverCount; index++) {
+		const name = `i-${index}`;
+		await site.addServer(name, 'plain', (req, res) => {
+			if (req.url!.endsWith('/stalls')) {
+				res.writeHead(200, {
+					'x-kingcuproute-request-id': req.headers['x-kingcuproute-request-id'],
+					'content-length': answerLen,
+				});
+				res.write(begun);
+			} else {
+				sendAnswer(req, res, body);
+			}
+		});
+		site.registerServer(name, 'plain', site.servedPort(), 1000);
+	}
+
+	await site.addServer('i-short', 'short', (req, res) => {
+		sendAnswer(req, res, 'short');
+	});
+	await site.start();
+	const {routes, services} = siteConfig;
+	const [download] = routes.rows;
+	const short = download.with(2, '/short/').with(8, 'short');
+	const [plain] = services.rows;
+	site.store.put('config', 'main', {
+		...siteConfig,
+		version: 'r2',
+		routes: {...routes, rows: [download.with(3, 'download'), short]},
+		services: {
+			...services,
+			rows: [plain.with(2, 5000), plain.with(0, 'short')],
+		},
+	});
+	await site.line('event=config-in-force version=2');
+	return site;
+}
+
+for (const [what, suffix] of [
+	['callers that do not read their downloads', ''],
+	['downloads that servers begin and do not finish', '/stalls'],
+]) {
+	test(`${what} take bounded memory, and others are served beside them`, async (t) => {
+		const site = await startDownloads(t);
+		const readers: CallerSocket[] = [];
+		for (const count of [1, 100, 500]) {
+			while (readers.length < count) {
+				const reader = await CallerSocket.open(site.entry);
+				reader.pause();
+				reader.send(`/read/${readers.length}${suffix}`);
+				readers.push(reader);
+			}
+
+			await sleep(1000);
+			const {status, text} = await site.send('/short/x');
+			t.is(status, 200);
+			t.is(text, 'short');
+			const peakLen = site.peakMemory();
+			t.log(`${count} callers: ${Math.round(peakLen / 1_048_576)} MB`);
+			t.true(peakLen < smallestMemoryLen, `${peakLen} bytes`);
+		}
+
+		if (suffix === '') {
+			const [first] = readers;
+			first.resume();
+			await until(async () => first.len > answerLen);
+		}
+
+		for (const reader of readers) {
+			reader.leave();
+		}
+	});
+}
--- a/packages/platform/src/deployment.ts
+++ b/packages/platform/src/deployment.ts
@@ -24,6 +24,8 @@
 	readonly failureDomain: string;
 	readonly region: string;
 	readonly memoryLen: number;
+	/** Most bytes of bodies in transit that a process buffers. */
+	readonly bufferLen: number;
 	readonly listen: {
 		/** Listener for callers. */
 		readonly entry: Address;
@@ -58,6 +60,8 @@
 /** For a platform that states no such bound. */
 const defaultDrainMs: Millis = 2000;
 const megabyteLen = 1_048_576;
+/** Share of a machine's memory for bodies in transit, if the settings don't say; the runtime needs the rest. */
+const bufferShare = 0.15;
 
 const numeric = z
 	.string()
@@ -93,6 +97,8 @@
 			readsPerS: numeric,
 		}),
 	}),
+	/** Settings of our own, which an operator may add to the file. */
+	kingcuproute: table({bufferMb: numeric.optional()}),
 	terms: table({
 		bounds: table({
 			graceS: numeric,
@@ -161,14 +167,18 @@
 	self,
 	network,
 	platform,
+	kingcuproute,
 	terms,
 }: z.infer<typeof settingsSchema>): Deployment {
 	const {bounds} = terms;
+	const {memoryMb} = self.limits;
+	const {bufferMb = memoryMb * bufferShare} = kingcuproute;
 	return {
 		vm: self.node,
 		failureDomain: self.zone,
 		region: self.region,
-		memoryLen: self.limits.memoryMb * megabyteLen,
+		memoryLen: memoryMb * megabyteLen,
+		bufferLen: bufferMb * megabyteLen,
 		listen: {
 			entry: network.listen.front,
 			readiness: network.listen.ready,
