--- a/packages/core/src/gateway/key-plan.ts
+++ b/packages/core/src/gateway/key-plan.ts
@@ -3,7 +3,14 @@
  * or leaving get a new owner, and a new server gets an even share by number of keys.
  */
 import {type ListedServer} from './listed-server.js';
-import {isHeldBy, maxKey, type KeyRange, type RangeTable} from './key-range.js';
+import {
+	maxKey,
+	ownerKeyOf,
+	rangesByOwner,
+	type KeyRange,
+	type RangeTable,
+} from './key-range.js';
+import {runKeyOf} from './server-run.js';
 
 /** A range of keys to move to `target`; `holder` is undefined if no server ever held them. */
 export type KeyMove = {
@@ -23,21 +30,19 @@
 		return [];
 	}
 
-	const keyCounts = new Map(servers.map((server) => [server.backendServer, 0]));
-	const isOwned = (range: KeyRange) =>
-		servers.some((server) => isHeldBy(range, server));
-	for (const range of ranges.filter((candidate) => isOwned(candidate))) {
-		keyCounts.set(
-			range.owner,
-			(keyCounts.get(range.owner) ?? 0) + lenOf(range),
-		);
-	}
-
+	const byOwner = rangesByOwner(ranges);
+	const keyCounts = new Map(
+		servers.map((server) => [
+			server.backendServer,
+			countKeys(byOwner.get(runKeyOf(server)) ?? []),
+		]),
+	);
+	const runs = new Set(servers.map((server) => runKeyOf(server)));
 	const unowned: Array<Omit<KeyMove, 'target'>> =
 		ranges.length === 0
 			? [{from: 0, to: maxKey, holder: undefined}]
 			: ranges
-					.filter((range) => !isOwned(range))
+					.filter((range) => !runs.has(ownerKeyOf(range)))
 					.map((range) => ({from: range.from, to: range.to, holder: range}));
 	const evenShare = (maxKey + 1) / servers.length;
 	const missing = new Map(
@@ -49,25 +54,33 @@
 	const moves = distribute(unowned, servers, missing);
 	return moves.length > 0
 		? moves
-		: movesToNewServers(ranges, servers, {held: keyCounts, evenShare});
+		: movesToNewServers(byOwner, servers, {keyCounts, evenShare});
 }
 
 /** The table after `move`; the moved keys get the next free fencing token. */
-export function applyMove(
-	table: RangeTable,
-	{from, to, target}: KeyMove,
+export function applyMove(table: RangeTable, move: KeyMove): RangeTable {
+	return applyMoves(table, [move]);
+}
+
+/** The table after `moves`, none of which includes a key of another. Fencing tokens follow their order. */
+export function applyMoves(
+	{service, nextFence, ranges}: RangeTable,
+	moves: readonly KeyMove[],
 ): RangeTable {
-	const fence = table.nextFence;
-	const rest = table.ranges.flatMap((range) => withoutKeys(range, from, to));
-	const movedRange: KeyRange = {
+	const moved = moves.map(({from, to, target}, index): KeyRange => ({
 		from,
 		to,
 		owner: target.backendServer,
 		ownerStartedAt: target.startedAt,
-		fence,
+		fence: nextFence + index,
+	}));
+	return {
+		service,
+		nextFence: nextFence + moves.length,
+		ranges: [...withoutAll(ranges, moved), ...moved].sort(
+			(a, b) => a.from - b.from,
+		),
 	};
-	const ranges = [...rest, movedRange].sort((a, b) => a.from - b.from);
-	return {...table, nextFence: fence + 1, ranges};
 }
 
 /** The same owners with new fencing tokens, all higher than any earlier one. */
@@ -101,6 +114,38 @@
 	return [before, after].filter((part) => part.from <= part.to);
 }
 
+/** The parts of `ranges` that remain without the keys of `removed`; both are ordered by key, and `removed` does not overlap itself. */
+export function withoutAll(
+	ranges: readonly KeyRange[],
+	removed: ReadonlyArray<Pick<KeyRange, 'from' | 'to'>>,
+): readonly KeyRange[] {
+	const sorted = removed.toSorted((a, b) => a.from - b.from);
+	const remaining: KeyRange[] = [];
+	let first = 0;
+	for (const range of ranges) {
+		while (first < sorted.length && sorted[first].to < range.from) {
+			first++;
+		}
+
+		let parts: readonly KeyRange[] = [range];
+		for (
+			let index = first;
+			index < sorted.length && sorted[index].from <= range.to;
+			index++
+		) {
+			const {from, to} = sorted[index];
+			const rest = parts.at(-1);
+			parts = rest
+				? [...parts.slice(0, -1), ...withoutKeys(rest, from, to)]
+				: parts;
+		}
+
+		remaining.push(...parts);
+	}
+
+	return remaining;
+}
+
 /** Gives each server the keys that it is missing; when none is missing any, one server gets the rest of a range. */
 function distribute(
 	unowned: ReadonlyArray<Omit<KeyMove, 'target'>>,
@@ -108,15 +153,21 @@
 	missing: Map<string, number>,
 ): readonly KeyMove[] {
 	const moves: KeyMove[] = [];
+	// Ordered by what they are missing, most first.
+	const queue = servers.toSorted(
+		(a, b) => missing.get(b.backendServer)! - missing.get(a.backendServer)!,
+	);
 	for (const range of unowned) {
 		let {from} = range;
 		while (from <= range.to) {
-			const target = serverMissingMost(servers, missing);
-			const count = Math.max(1, missing.get(target.backendServer)!);
-			const isLast = [...missing.values()].every((left) => left <= 0);
+			const target = queue.shift()!;
+			const name = target.backendServer;
+			const isLast = missing.get(name)! <= 0;
+			const count = Math.max(1, missing.get(name)!);
 			const to = isLast ? range.to : Math.min(range.to, from + count - 1);
 			moves.push({from, to, holder: range.holder, target});
-			missing.set(target.backendServer, count - (to - from + 1));
+			missing.set(name, count - (to - from + 1));
+			insertByCount(queue, target, missing);
 			from = to + 1;
 		}
 	}
@@ -124,52 +175,77 @@
 	return moves;
 }
 
-function serverMissingMost(
-	servers: readonly ListedServer[],
-	missing: ReadonlyMap<string, number>,
-): ListedServer {
-	const missingOf = ({backendServer}: ListedServer) =>
-		missing.get(backendServer)!;
-	return servers.toSorted((a, b) => missingOf(b) - missingOf(a))[0];
+/** Inserts a server into a queue that is ordered by `counts`, highest first. */
+function insertByCount(
+	queue: ListedServer[],
+	server: ListedServer,
+	counts: ReadonlyMap<string, number>,
+): void {
+	const count = counts.get(server.backendServer)!;
+	let low = 0;
+	let high = queue.length;
+	while (low < high) {
+		const middle = Math.floor((low + high) / 2);
+		if (counts.get(queue[middle].backendServer)! >= count) {
+			low = middle + 1;
+		} else {
+			high = middle;
+		}
+	}
+
+	queue.splice(low, 0, server);
 }
 
-/** Moves keys of the other servers to each server that has none, up to an even share. */
+/** Moves keys of the servers that have most to each server that has none, up to an even share. */
 function movesToNewServers(
-	ranges: readonly KeyRange[],
+	byOwner: ReadonlyMap<string, readonly KeyRange[]>,
 	servers: readonly ListedServer[],
 	{
-		held: keyCounts,
+		keyCounts,
 		evenShare,
 	}: {
-		readonly held: Map<string, number>;
+		readonly keyCounts: ReadonlyMap<string, number>;
 		readonly evenShare: number;
 	},
 ): readonly KeyMove[] {
 	const counts = new Map(keyCounts);
+	const countOf = ({backendServer}: ListedServer) => counts.get(backendServer)!;
+	const ranges = new Map(
+		servers.map((server) => [
+			server,
+			[...(byOwner.get(runKeyOf(server)) ?? [])],
+		]),
+	);
+	// Ordered by their keys, most first.
+	const donors = servers
+		.filter((server) => countOf(server) > 0)
+		.sort((a, b) => countOf(b) - countOf(a));
+	const shareCount = Math.floor(evenShare);
 	const moves: KeyMove[] = [];
-	let remaining = [...ranges];
-	for (const target of servers) {
-		if (counts.get(target.backendServer)! > 0) {
-			continue;
-		}
+	for (const target of servers.filter((server) => countOf(server) === 0)) {
+		let wantedCount = shareCount;
+		while (wantedCount > 0 && donors.length > 0) {
+			const [donor] = donors;
+			const spare = countOf(donor) - evenShare;
+			const hasNone = wantedCount === shareCount;
+			// Where rounding leaves nobody with keys to spare, one gives half of its own.
+			const spareCount = Math.floor(
+				hasNone && spare < 1 ? countOf(donor) / 2 : spare,
+			);
+			if (spareCount <= 0) {
+				break;
+			}
 
-		let wantedCount = Math.floor(evenShare);
+			const given = ranges.get(donor)!;
+			const range = given.pop()!;
 
-		for (const range of remaining.toSorted(
-			(a, b) => counts.get(b.owner)! - counts.get(a.owner)!,
-		)) {
-			const spareCount = Math.floor(counts.get(range.owner)! - evenShare);
 			const len = Math.min(wantedCount, spareCount, lenOf(range));
-			if (len <= 0) {
-				continue;
-			}
-
 			const from = range.to - len + 1;
 			moves.push({from, to: range.to, holder: range, target});
-			counts.set(range.owner, counts.get(range.owner)! - len);
-			remaining = remaining.flatMap((other) =>
-				other === range ? withoutKeys(range, from, range.to) : [other],
-			);
+			given.push(...withoutKeys(range, from, range.to));
+			counts.set(donor.backendServer, countOf(donor) - len);
+			donors.shift();
+			insertByCount(donors, donor, counts);
 			wantedCount -= len;
 		}
 	}
@@ -177,6 +253,15 @@
 	return moves;
 }
 
+function countKeys(ranges: readonly KeyRange[]): number {
+	let count = 0;
+	for (const range of ranges) {
+		count += lenOf(range);
+	}
+
+	return count;
+}
+
 function lenOf({from, to}: KeyRange): number {
 	return to - from + 1;
 }
--- a/packages/core/src/gateway/key-range.ts
+++ b/packages/core/src/gateway/key-range.ts
@@ -1,5 +1,6 @@
 /** Which backend server owns which keys of a service divided by key, and under which fencing token. */
 import {type ListedServer} from './listed-server.js';
+import {runKeyOf} from './server-run.js';
 
 /** Keys are whole numbers from 0 to this. */
 export const maxKey = 65_535;
@@ -32,6 +33,29 @@
 	return owner === backendServer && ownerStartedAt === startedAt;
 }
 
+/** The run that owns the range, as `runKeyOf` names it. */
+export function ownerKeyOf({owner, ownerStartedAt}: KeyRange): string {
+	return runKeyOf({backendServer: owner, startedAt: ownerStartedAt});
+}
+
+/** The ranges of each run that owns any, by `ownerKeyOf`. */
+export function rangesByOwner(
+	ranges: readonly KeyRange[],
+): ReadonlyMap<string, readonly KeyRange[]> {
+	const byOwner = new Map<string, KeyRange[]>();
+	for (const range of ranges) {
+		const key = ownerKeyOf(range);
+		const others = byOwner.get(key);
+		if (others) {
+			others.push(range);
+		} else {
+			byOwner.set(key, [range]);
+		}
+	}
+
+	return byOwner;
+}
+
 /** The range that contains `key`. */
 export function rangeOf(
 	{ranges}: RangeTable,
--- a/packages/core/src/gateway/load-plan.ts
+++ b/packages/core/src/gateway/load-plan.ts
@@ -8,9 +8,10 @@
 import {type Millis} from '../time/clock.js';
 import {median} from '../balance/median.js';
 import {type ListedServer} from './listed-server.js';
-import {isHeldBy, type KeyRange, type RangeTable} from './key-range.js';
+import {rangesByOwner, type KeyRange, type RangeTable} from './key-range.js';
 import {type KeyMove} from './key-plan.js';
 import {type KeyTraffic} from './key-traffic.js';
+import {runKeyOf} from './server-run.js';
 
 /** A server whose slots are busy less than this share of the time gives no keys away: hardly any request waits there. */
 const minDonorLoad = 0.45;
@@ -52,11 +53,12 @@
 	}
 
 	const keys = [...rates].sort(([a], [b]) => a - b);
+	const byOwner = rangesByOwner(table.ranges);
 	const loadedServers = servers
 		.map((server) =>
 			withLoad(
 				server,
-				table,
+				byOwner.get(runKeyOf(server)) ?? [],
 				keys,
 				runMs.get(server.backendServer) ?? medianMs,
 			),
@@ -93,11 +95,10 @@
 
 function withLoad(
 	server: ListedServer,
-	table: RangeTable,
+	ranges: readonly KeyRange[],
 	keys: RatedKeys,
 	runMs: Millis,
 ): LoadedServer {
-	const ranges = table.ranges.filter((range) => isHeldBy(range, server));
 	const cost = runMs / secondMs / server.slots;
 	let rate = 0;
 	for (const range of ranges) {
@@ -148,7 +149,23 @@
 }
 
 function keysIn({from, to}: KeyRange, keys: RatedKeys): RatedKeys {
-	return keys.filter(([key]) => from <= key && key <= to);
+	return keys.slice(firstAtLeast(keys, from), firstAtLeast(keys, to + 1));
+}
+
+/** The index of the first key that is not below `least`. */
+function firstAtLeast(keys: RatedKeys, least: number): number {
+	let low = 0;
+	let high = keys.length;
+	while (low < high) {
+		const middle = Math.floor((low + high) / 2);
+		if (keys[middle][0] < least) {
+			low = middle + 1;
+		} else {
+			high = middle;
+		}
+	}
+
+	return low;
 }
 
 function totalRate(keys: RatedKeys): number {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -258,14 +258,18 @@
 export {
 	isHeldBy,
 	maxKey,
+	ownerKeyOf,
 	rangeOf,
+	rangesByOwner,
 	type KeyRange,
 	type RangeTable,
 } from './gateway/key-range.js';
 export {
 	applyMove,
+	applyMoves,
 	planKeyMoves,
 	withNewFences,
+	withoutAll,
 	withoutKeys,
 	type KeyMove,
 } from './gateway/key-plan.js';
--- a/packages/daemon/src/gateway/key-keeper.ts
+++ b/packages/daemon/src/gateway/key-keeper.ts
@@ -4,12 +4,12 @@
  * table in the store names a new holder before that server is sent its grant.
  */
 import {
-	applyMove,
-	isHeldBy,
+	applyMoves,
+	rangesByOwner,
+	runKeyOf,
 	withNewFences,
-	withoutKeys,
+	withoutAll,
 	type KeyMove,
-	type KeyRange,
 	type ListedServer,
 	type Millis,
 	type RangeTable,
@@ -126,24 +126,15 @@
 		});
 	}
 
+	/** Renews the leases on all keys but those of pending moves. */
 	#renew(): void {
+		const {ranges} = this.#table.value;
+		const byOwner = rangesByOwner(withoutAll(ranges, [...this.#pendingMoves]));
 		for (const server of this.context.listed()) {
-			this.#grants.renew(server, this.#rangesOf(server));
+			this.#grants.renew(server, byOwner.get(runKeyOf(server)) ?? []);
 		}
 	}
 
-	/** The ranges that a server holds, without the keys of pending moves. */
-	#rangesOf(server: ListedServer): readonly KeyRange[] {
-		let ranges = this.#table.value.ranges.filter((range) =>
-			isHeldBy(range, server),
-		);
-		for (const {from, to} of this.#pendingMoves) {
-			ranges = ranges.flatMap((range) => withoutKeys(range, from, to));
-		}
-
-		return ranges;
-	}
-
 	#plan(): void {
 		const pending = [...this.#pendingMoves];
 		const {value} = this.#table;
@@ -178,10 +169,10 @@
 			return;
 		}
 
-		let table = this.#table.value;
-		for (const {move} of batch) {
-			table = applyMove(table, move);
-		}
+		const table = applyMoves(
+			this.#table.value,
+			batch.map(({move}) => move),
+		);
 
 		// A failed write is repeated unchanged, since the first one may still succeed.
 		const written =
@@ -199,25 +190,21 @@
 		}
 	}
 
-	/** Whether this run of the server is listed and not known to be over. */
-	#isRunning(server: ListedServer): boolean {
-		return (
-			!this.#grants.hasEnded(server) &&
-			this.context.listed().some((listed) => isSameRun(listed, server))
-		);
-	}
-
 	#grantFreed(batch: readonly FreedMove[], {ranges}: RangeTable): void {
 		const {log, service} = this.context;
+		const listed = new Set(
+			this.context.listed().map((server) => runKeyOf(server)),
+		);
+		const isRunning = (server: ListedServer) =>
+			listed.has(runKeyOf(server)) && !this.#grants.hasEnded(server);
+		const rangesByStart = new Map(ranges.map((range) => [range.from, range]));
 		for (const {move, handover} of batch) {
 			const {from, to, target} = move;
-			const range = ranges.find(
-				(granted) => granted.from === from && granted.to === to,
-			)!;
+			const range = rangesByStart.get(from)!;
 			const {fence} = range;
 			const {backendServer} = target;
 			const keys = {service, backendServer, from, to, fence};
-			if (this.#isRunning(target)) {
+			if (isRunning(target)) {
 				log.info('keys-granted', keys);
 				this.#grants.grant(target, range, handover);
 			} else {
@@ -227,7 +214,3 @@
 		}
 	}
 }
-
-function isSameRun(a: ListedServer, b: ListedServer): boolean {
-	return a.backendServer === b.backendServer && a.startedAt === b.startedAt;
-}
--- a/packages/daemon/src/gateway/key-planner.ts
+++ b/packages/daemon/src/gateway/key-planner.ts
@@ -4,10 +4,11 @@
  * out the load.
  */
 import {
-	isHeldBy,
-	applyMove,
+	ownerKeyOf,
+	applyMoves,
 	planKeyMoves,
 	planLoadMoves,
+	runKeyOf,
 	type Clock,
 	type KeyMove,
 	type KeyTraffic,
@@ -43,10 +44,7 @@
 
 	/** The moves to begin now. Planned as if the pending moves were done; none includes keys of a pending one. */
 	plan(table: RangeTable, pending: readonly KeyMove[]): readonly KeyMove[] {
-		let planned = table;
-		for (const move of pending) {
-			planned = applyMove(planned, move);
-		}
+		const planned = applyMoves(table, pending);
 
 		// The entry of a run that has ended stays listed for a few seconds.
 		const servers = this.context
@@ -55,9 +53,7 @@
 		const needed = this.#movable(planKeyMoves(planned, servers), servers);
 		const moves =
 			needed.length > 0 ? needed : this.#planLoadMoves(planned, servers);
-		return moves.filter(
-			(move) => !pending.some((other) => overlaps(move, other)),
-		);
+		return moves.filter(overlapsNone(pending));
 	}
 
 	#planLoadMoves(
@@ -92,15 +88,32 @@
 		moves: readonly KeyMove[],
 		servers: readonly ListedServer[],
 	): readonly KeyMove[] {
+		const working = new Set(servers.map((server) => runKeyOf(server)));
 		return moves.filter(
 			({holder, from, to}) =>
 				!holder ||
-				!servers.some((server) => isHeldBy(holder, server)) ||
+				!working.has(ownerKeyOf(holder)) ||
 				this.grants.isReleaseFinal(holder, from, to),
 		);
 	}
 }
 
-function overlaps(a: KeyMove, b: KeyMove): boolean {
-	return a.from <= b.to && b.from <= a.to;
+/** A test for moves that include no key of one of `pending`. */
+function overlapsNone(pending: readonly KeyMove[]): (move: KeyMove) => boolean {
+	const sorted = pending.toSorted((a, b) => a.from - b.from);
+	return ({from, to}) => {
+		// The pending moves do not overlap each other, so they are ordered by their ends, too.
+		let low = 0;
+		let high = sorted.length;
+		while (low < high) {
+			const middle = Math.floor((low + high) / 2);
+			if (sorted[middle].to < from) {
+				low = middle + 1;
+			} else {
+				high = middle;
+			}
+		}
+
+		return low === sorted.length || sorted[low].from > to;
+	};
 }
--- a/packages/daemon/src/gateway/view-task.ts
+++ b/packages/daemon/src/gateway/view-task.ts
@@ -73,6 +73,8 @@
 	readonly #followers: readonly KindFollower[];
 	#evacuated: ReadonlySet<string> = new Set();
 	readonly #lapseHold = new LapseHold();
+	/** Each object belongs to one kind, and so to one parser. */
+	readonly #parsed = new WeakMap<StoredObject, Validated<unknown>>();
 	/** Revision by object path of objects that could not be parsed, so that each is logged once. */
 	readonly #unreadable = new Map<string, number>();
 
@@ -208,6 +210,7 @@
 		return serversByService(servers, this.#evacuated);
 	}
 
+	/** The readable ones of `objects`, parsed. An object that has not changed is not parsed again. */
 	#parseAll<T>(
 		kind: string,
 		objects: Objects | undefined,
@@ -215,8 +218,14 @@
 	): T[] {
 		const values: T[] = [];
 		for (const object of objects?.values() ?? []) {
+			let parsed = this.#parsed.get(object) as Validated<T> | undefined;
+			if (!parsed) {
+				parsed = parse(object);
+				this.#parsed.set(object, parsed);
+			}
+
 			fold(
-				parse(object),
+				parsed,
 				(faults) => {
 					this.#logUnreadable(kind, object, faults);
 				},
--- a/packages/platform/src/key-orders.ts
+++ b/packages/platform/src/key-orders.ts
@@ -38,8 +38,17 @@
 	/** Another server answers at the address: the intended one has ended. */
 	| {readonly kind: 'ended'};
 
+/** Connections to one server for each kind of order. One that does not open would otherwise be joined by another for each further order. */
+const maxConnections = 2;
+/** As long as an order may take: a connection that opens later serves nobody. */
+const connectTimeoutMs: Millis = 800;
 /** Disables undici's timeouts, since each order has its own. */
-const noTimeouts = {headersTimeout: 0, bodyTimeout: 0};
+const agentOptions = {
+	headersTimeout: 0,
+	bodyTimeout: 0,
+	connections: maxConnections,
+	connect: {timeout: connectTimeoutMs},
+};
 /** All information is in the header of the answer; its body is a few words at most. */
 const maxAnswerLen = 16_384;
 /** Handovers that are remembered: an hour of releases at three a second. */
@@ -73,14 +82,16 @@
 };
 
 export class HttpKeyOrders extends KeyOrders {
-	readonly #shared = boundedAgent(maxAnswerLen, noTimeouts);
+	readonly #grants = boundedAgent(maxAnswerLen, agentOptions);
+	/** Apart from grants, since the answer to a release waits for the work on its keys. */
+	readonly #releases = boundedAgent(maxAnswerLen, agentOptions);
 	/** With pipelining 0, undici closes the connection after each request. */
 	readonly #single = boundedAgent(maxAnswerLen, {
-		...noTimeouts,
+		...agentOptions,
 		pipelining: 0,
 	});
 
-	/** Handovers received over shared connections, oldest first. */
+	/** Handovers received over kept connections, oldest first. */
 	readonly #handovers = new Set<string>();
 
 	constructor(private readonly clock: Clock) {
@@ -93,7 +104,7 @@
 		timeoutMs: Millis,
 	): Promise<OrderOutcome> {
 		const body = {from, target: to, fence, holdMs: leaseMs, handover};
-		return this.#send(this.#shared, {server, order: 'grant', body, timeoutMs});
+		return this.#send(this.#grants, {server, order: 'grant', body, timeoutMs});
 	}
 
 	override async release(
@@ -103,7 +114,7 @@
 	): Promise<OrderOutcome> {
 		const body = {from, target: to, fence};
 		const call: OrderCall = {server, order: 'release', body, timeoutMs};
-		const end = await this.#send(this.#shared, call);
+		const end = await this.#send(this.#releases, call);
 		return end.kind !== 'taken' || this.#isNew(end.handover)
 			? end
 			: this.#send(this.#single, call);
@@ -111,7 +122,11 @@
 
 	/** Closes all connections, so that the process can end. */
 	async close(): Promise<void> {
-		await Promise.all([this.#shared.destroy(), this.#single.destroy()]);
+		await Promise.all(
+			[this.#grants, this.#releases, this.#single].map(async (agent) =>
+				agent.destroy(),
+			),
+		);
 	}
 
 	async #send(
--- a/packages/platform/test/key-orders.test.ts
+++ b/packages/platform/test/key-orders.test.ts
@@ -118,3 +118,27 @@
 		t.deepEqual(await orders.release(server, order, timeoutMs), taken);
 	});
 }
+
+test('orders to a server that does not answer open few connections, and are given up in time', async (t) => {
+	let connections = 0;
+	const server = createServer((socket) => {
+		connections++;
+		socket.on('error', () => undefined);
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	t.teardown(() => {
+		server.close();
+	});
+	const {port} = server.address() as AddressInfo;
+	const orders = new HttpKeyOrders(new SystemClock());
+	const target = {backendServer: 'a', address: `127.0.0.1:${port}`};
+	const grants = Array.from({length: 20}, async () =>
+		orders.grant(target, grantOrder, timeoutMs),
+	);
+	await sleep(timeoutMs / 2);
+	t.true(connections <= 2, `${connections} connections`);
+	const ends = await Promise.all(grants);
+	t.true(ends.every(({kind}) => kind === 'unknown'));
+	await orders.close();
+});
