--- a/packages/core/src/gateway/key-traffic.ts
+++ b/packages/core/src/gateway/key-traffic.ts
@@ -16,6 +16,8 @@
 
 /** Long enough to see a few dozen requests on a small site, short enough to notice quickly when a key becomes busy. */
 const windowMs: Millis = 3000;
+/** Rates are not extrapolated from a shorter time than this. */
+const minSpanMs: Millis = 1000;
 /** Most keys that one daemon reports: a few kB, and more than it sees in a window on a small site. */
 const maxKeys = 200;
 /** Most requests kept; beyond that only the newer half stays. Enough for several thousand a second over the window. */
@@ -27,10 +29,12 @@
 /** Records the keys of the requests that one daemon handles. */
 export class KeyRecorder {
 	#requests: KeyRequest[] = [];
+	#firstAt: Millis | undefined;
 
 	constructor(private readonly random: Random) {}
 
 	record(key: number, now: Millis): void {
+		this.#firstAt ??= now;
 		this.#requests.push({key, at: now});
 		if (this.#requests.length > maxRequests) {
 			this.#requests = this.#recent(now);
@@ -45,9 +49,12 @@
 			counts.set(key, (counts.get(key) ?? 0) + 1);
 		}
 
+		// Early requests would be taken for few if they counted for the whole window.
+		const observedMs = now - (this.#firstAt ?? now);
+		const spanMs = Math.min(windowMs, Math.max(minSpanMs, observedMs));
 		const sample = thresholdSample(counts, maxKeys, this.random.fraction());
 		return new Map(
-			[...sample].map(([key, count]) => [key, (count * secondMs) / windowMs]),
+			[...sample].map(([key, count]) => [key, (count * secondMs) / spanMs]),
 		);
 	}
 
--- a/packages/core/src/gateway/load-plan.ts
+++ b/packages/core/src/gateway/load-plan.ts
@@ -9,18 +9,22 @@
 import {median} from '../balance/median.js';
 import {type ListedServer} from './listed-server.js';
 import {rangesByOwner, type KeyRange, type RangeTable} from './key-range.js';
-import {type KeyMove} from './key-plan.js';
+import {withoutKeys, type KeyMove} from './key-plan.js';
 import {type KeyTraffic} from './key-traffic.js';
 import {runKeyOf} from './server-run.js';
 
 /** A server whose slots are busy less than this share of the time gives no keys away: hardly any request waits there. */
 const minDonorLoad = 0.45;
-/** Smallest difference in load that causes a move: with a few dozen requests seen, a smaller one may be chance. */
+/** Smallest difference in load, to the mean and to the recipient, that causes a move: with a few dozen requests seen, a smaller one may be chance. */
 const minLoadGap = 0.25;
 /** Least reduction in the load of the busier server that justifies a move. */
 const minGain = 0.1;
-/** Most moves in one plan, so that its table is written quickly and few keys are unserved. */
-const maxMoves = 8;
+/** A server busier than this queues requests, so that its keys are served late until they have moved. */
+const crowdedLoad = 0.75;
+/** How far above the mean load a server may end up that gets keys. */
+const ceilingSlack = 0.1;
+/** Most moves in one plan off servers that are not crowded: what is seen of their load may be chance. */
+const maxEasyMoves = 8;
 const secondMs: Millis = 1000;
 
 /** A server and the load that its keys cause. */
@@ -41,7 +45,7 @@
 	readonly rate: number;
 };
 
-/** The moves that even out the load; none if no run time is known. */
+/** The moves that even out the load, none of which includes a key of another; none if no run time is known. */
 export function planLoadMoves(
 	table: RangeTable,
 	servers: readonly ListedServer[],
@@ -64,32 +68,77 @@
 			),
 		)
 		.sort((a, b) => a.load - b.load);
-	const donors = loadedServers
-		.filter(({load}) => load >= minDonorLoad)
-		.reverse();
-	const recipients = loadedServers.filter(({server}) => server.coldMs === 0);
+	return evenOut(loadedServers, keys);
+}
+
+/** Repeatedly moves keys from the busiest server to the least busy one, as long as that gains enough. */
+function evenOut(
+	loadedServers: readonly LoadedServer[],
+	keys: RatedKeys,
+): readonly KeyMove[] {
+	const byLoad = [...loadedServers];
+	let total = 0;
+	for (const {load} of loadedServers) {
+		total += load;
+	}
+
+	const mean = total / loadedServers.length;
+	const ceiling = mean + ceilingSlack;
+	const crowdedFrom = Math.max(crowdedLoad, ceiling);
 	const moves: KeyMove[] = [];
-	for (const donor of donors) {
-		const recipient = recipients.find((candidate) => candidate !== donor);
+	let easyMoves = 0;
+	while (moves.length < loadedServers.length) {
+		const donor = byLoad.pop();
+		const recipient = byLoad.find(({server}) => server.coldMs === 0);
 		if (
+			!donor ||
 			!recipient ||
-			moves.length === maxMoves ||
+			donor.load < Math.max(minDonorLoad, mean + minLoadGap) ||
 			donor.load - recipient.load < minLoadGap
 		) {
 			break;
 		}
 
-		const run = bestRun(donor, recipient, keys);
+		const isEasy = donor.load < crowdedFrom;
+		if (isEasy && easyMoves === maxEasyMoves) {
+			break;
+		}
+
+		const run = bestRun(donor, recipient, {keys, ceiling});
+		// A donor without a run that helps stays out of this plan.
 		if (run) {
-			const {from, to, holder} = run;
+			const {from, to, holder, rate} = run;
 			moves.push({from, to, holder, target: recipient.server});
-			recipients.splice(recipients.indexOf(recipient), 1);
+			easyMoves += isEasy ? 1 : 0;
+			byLoad.splice(byLoad.indexOf(recipient), 1);
+			insertByLoad(byLoad, withoutRun(donor, run));
+			const load = recipient.load + rate * recipient.cost;
+			insertByLoad(byLoad, {...recipient, load});
 		}
 	}
 
 	return moves;
 }
 
+function withoutRun(
+	donor: LoadedServer,
+	{from, to, holder, rate}: KeyRun,
+): LoadedServer {
+	return {
+		...donor,
+		load: donor.load - rate * donor.cost,
+		ranges: donor.ranges.flatMap((range) =>
+			range === holder ? withoutKeys(range, from, to) : [range],
+		),
+	};
+}
+
+/** Inserts a server into a list that is ordered by load, lowest first. */
+function insertByLoad(byLoad: LoadedServer[], server: LoadedServer): void {
+	const index = byLoad.findIndex(({load}) => load > server.load);
+	byLoad.splice(index === -1 ? byLoad.length : index, 0, server);
+}
+
 /** Keys in ascending order, each with its requests a second. */
 type RatedKeys = ReadonlyArray<readonly [number, number]>;
 
@@ -108,22 +157,35 @@
 	return {server, ranges, cost, load: rate * cost};
 }
 
-/** The run whose move leaves the busier of the two least busy; undefined if the gain would be under `minGain`. */
+/**
+ * The run to move from `donor` to `recipient`; undefined if the gain would be under
+ * `minGain`. Preferably the busiest one that leaves the recipient below `ceiling`, so
+ * that it need not give keys away next; otherwise the one that leaves the busier of the
+ * two least busy.
+ */
 function bestRun(
 	donor: LoadedServer,
 	recipient: LoadedServer,
-	keys: RatedKeys,
+	{keys, ceiling}: {readonly keys: RatedKeys; readonly ceiling: number},
 ): KeyRun | undefined {
-	const loadAfter = ({rate}: KeyRun) =>
-		Math.max(
-			donor.load - rate * donor.cost,
-			recipient.load + rate * recipient.cost,
-		);
-	const runs = donor.ranges
-		.flatMap((range) => runsOf(range, keysIn(range, keys)))
+	const runs = donor.ranges.flatMap((range) =>
+		runsOf(range, keysIn(range, keys)),
+	);
+	const loadWith = ({rate}: KeyRun) => recipient.load + rate * recipient.cost;
+	const loadAfter = (run: KeyRun) =>
+		Math.max(donor.load - run.rate * donor.cost, loadWith(run));
+	const fitting = runs
+		.filter((run) => loadWith(run) <= ceiling)
+		.sort((a, b) => b.rate - a.rate || lenOf(a) - lenOf(b))
+		.at(0);
+	if (fitting && fitting.rate * donor.cost >= minGain) {
+		return fitting;
+	}
+
+	const best = runs
 		.map((run) => ({run, after: loadAfter(run)}))
-		.sort((a, b) => a.after - b.after || lenOf(a.run) - lenOf(b.run));
-	const best = runs.at(0);
+		.sort((a, b) => a.after - b.after || lenOf(a.run) - lenOf(b.run))
+		.at(0);
 	return best && donor.load - best.after >= minGain ? best.run : undefined;
 }
 
