--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -13,6 +13,7 @@
 import {Identity} from './fleet/identity.js';
 import {MembershipTask} from './fleet/membership-task.js';
 import {Log} from './log/log.js';
+import {logUnexpectedErrors} from './log/unexpected-errors.js';
 import {daemonContainer} from './container.js';
 import {BalanceTask} from './balance/balance-task.js';
 import {LimitsTask} from './limits/limits-task.js';
@@ -100,6 +101,7 @@
 			operator: this.#operator.port,
 		};
 		this.#log.info('listening', ports);
+		logUnexpectedErrors(this.#log);
 		return ports;
 	}
 
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -18,6 +18,7 @@
 } from '@kingcuproute/platform';
 import {container} from 'tsyringe';
 import {Log} from '../log/log.js';
+import {logUnexpectedErrors} from '../log/unexpected-errors.js';
 import {GatewayEntryTask} from './gateway-entry-task.js';
 import {KeepersTask} from './keepers-task.js';
 import {TrafficTask} from './traffic-task.js';
@@ -61,6 +62,7 @@
 		await this.#view.start();
 		await this.#keepers.start();
 		await this.#traffic.start();
+		logUnexpectedErrors(this.#log);
 	}
 
 	/** Logs which settings of a changed settings file differ; they take effect at the next start. */
--- a/packages/fakes/test/gateway-refusals.test.ts
+++ b/packages/fakes/test/gateway-refusals.test.ts
@@ -113,3 +113,22 @@
 	t.is(await site.statusOf('/book/z', {}, 'b'), 200);
 	t.deepEqual(server.ran, ['q/book/y', 'q/book/z']);
 });
+
+test('errors that nothing has caught are logged, and requests are served on', async (t) => {
+	const site = createSite(t);
+	await site.addServer('i-1', 'plain', (req, res, body) => {
+		sendAnswer(req, res, body);
+	});
+	const faults = [
+		"setTimeout(() => { throw new Error('thrown'); }, 2000);",
+		"setTimeout(() => { Promise.reject(new Error('rejected')); }, 2000);",
+		'setTimeout(() => { Promise.reject(undefined); }, 2000);',
+	].join('');
+	const url = `data:text/javascript,${encodeURIComponent(faults)}`;
+	await site.start({NODE_OPTIONS: `--import=${url}`});
+	await site.line('message=thrown');
+	await site.line('message=rejected');
+	await site.line('message=undefined');
+	t.is(await site.statusOf('/read/x'), 200);
+	t.is(await site.terminate(), 0);
+});
--- a/packages/fakes/test/gateway-site.ts
+++ b/packages/fakes/test/gateway-site.ts
@@ -130,7 +130,8 @@
 		return Number(/^VmHWM:\s+(\d+) kB$/m.exec(status)![1]) * 1024;
 	}
 
-	async start(): Promise<void> {
+	/** Starts the daemon, with these environment variables in addition. */
+	async start(variables: Readonly<Record<string, string>> = {}): Promise<void> {
 		const address = await this.store.start();
 		this.store.put('config', 'main', siteConfig);
 		const file = path.join(this.#folder, 'settings.conf');
@@ -154,7 +155,10 @@
 		];
 		writeFileSync(file, settings.join('\n'));
 		this.settingsFile = file;
-		this.#daemon = new Child('gateway', main, [], {[settingsVariable]: file});
+		this.#daemon = new Child('gateway', main, [], {
+			...variables,
+			[settingsVariable]: file,
+		});
 		const line = await this.#daemon.line('event=listening');
 		[, this.entry, this.readiness] =
 			/entry=(\S+) readiness=(\S+)/.exec(line) ?? [];
