--- a/packages/core/src/gateway/server-loads.ts
+++ b/packages/core/src/gateway/server-loads.ts
@@ -37,7 +37,7 @@
 /** Requests per slot below which a slot is free. */
 const freeLoad = 1;
 /** Requests per slot at which a server gets no more: its queue then holds about one run time of work. */
-const maxLoad = 2;
+export const maxLoad = 2;
 
 /** What this daemon knows about one server. */
 type ServerStats = {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -306,6 +306,7 @@
 export {takesRequest, type StopPlan} from './gateway/stop-plan.js';
 export {drawService, RouteTable} from './gateway/route-table.js';
 export {
+	maxLoad,
 	ServerLoads,
 	type Occupancy,
 	type SendOutcome,
--- a/packages/daemon/src/gateway/gateway-exchange.ts
+++ b/packages/daemon/src/gateway/gateway-exchange.ts
@@ -91,7 +91,8 @@
 		}
 
 		metrics.requestEnded(service?.service, end.reason, tookMs);
-		log.routing('request-refused', {...fields, ...end});
+		const {full, ...refusal} = end;
+		log.routing('request-refused', {...fields, ...refusal, ...full});
 		closeIfStopping(this.context, this.caller);
 		sendEnd(res, end);
 	}
--- a/packages/daemon/src/gateway/request-end.ts
+++ b/packages/daemon/src/gateway/request-end.ts
@@ -29,6 +29,8 @@
 	readonly reason: Reason;
 	readonly notRun: boolean;
 	readonly retryAfterMs?: Millis;
+	/** For the log: the state of the least loaded server, if all were full. */
+	readonly full?: Readonly<Record<string, string | number>>;
 };
 
 const secondMs: Millis = 1000;
--- a/packages/daemon/src/gateway/server-picks.ts
+++ b/packages/daemon/src/gateway/server-picks.ts
@@ -1,6 +1,7 @@
 /** Chooses the backend server for a request's next attempt, or says why there is none. */
 import {
 	isHeldBy,
+	maxLoad,
 	rangeOf,
 	ServerLoads,
 	type Clock,
@@ -33,6 +34,12 @@
 /** About the time in which keys move to another server. */
 const noOwnerRetryMs = 500;
 
+const noOwner: RequestEnd = {
+	reason: 'no-owner',
+	notRun: true,
+	retryAfterMs: noOwnerRetryMs,
+};
+
 @singleton()
 export class ServerPicks {
 	readonly loads: ServerLoads;
@@ -61,11 +68,8 @@
 			: this.#pickAny(criteria);
 	}
 
-	#pickOwner({
-		service,
-		key,
-		lastFailure,
-	}: PickCriteria): Either<RequestEnd, ListedServer> {
+	#pickOwner(criteria: PickCriteria): Either<RequestEnd, ListedServer> {
+		const {service, key, lastFailure} = criteria;
 		const table = this.view.view.value.rangeTables.get(service.service);
 		if (key === undefined) {
 			return Left({reason: 'bad-request', notRun: true});
@@ -78,49 +82,36 @@
 		const failedRecently =
 			owner?.backendServer === lastFailure?.by &&
 			this.clock.now() - (lastFailure?.at ?? 0) < ownerRetryMs;
-		if (!owner || failedRecently) {
-			return Left({
-				reason: 'no-owner',
-				notRun: true,
-				retryAfterMs: noOwnerRetryMs,
-			});
-		}
-
-		return this.#admit(service, [owner], 'no-owner');
+		return !owner || failedRecently
+			? Left(noOwner)
+			: this.#admit(criteria, [owner], noOwner);
 	}
 
-	#pickAny({service, tried}: PickCriteria): Either<RequestEnd, ListedServer> {
+	#pickAny(criteria: PickCriteria): Either<RequestEnd, ListedServer> {
+		const {service, tried} = criteria;
 		const untried = this.#inService(service).filter(
 			({backendServer}) => !tried.includes(backendServer),
 		);
-		const isRetry = tried.length > 0;
-		return this.#admit(
-			service,
-			untried,
-			isRetry ? 'declined' : 'no-server',
-			isRetry,
-		);
+		return this.#admit(criteria, untried, {
+			reason: tried.length > 0 ? 'declined' : 'no-server',
+			notRun: true,
+			retryAfterMs: overloadedRetryMs,
+		});
 	}
 
-	/** Chooses among `serving`; `reasonIfNone` is why there is no server if none of them may get requests. */
+	/** Chooses among `serving`; `refusalIfNone` is for the case that none of them may get requests. */
 	#admit(
-		service: RoutedService,
+		criteria: PickCriteria,
 		serving: readonly ListedServer[],
-		reasonIfNone: 'no-owner' | 'no-server' | 'declined',
-		isRetry = false,
+		refusalIfNone: RequestEnd,
 	): Either<RequestEnd, ListedServer> {
 		const {servers, heldMs} = this.notices.candidates(serving);
 		if (servers.length > 0) {
-			return this.#chooseByLoad(service, servers, isRetry);
+			return this.#chooseByLoad(criteria, servers);
 		}
 
 		return heldMs === undefined
-			? Left({
-					reason: reasonIfNone,
-					notRun: true,
-					retryAfterMs:
-						reasonIfNone === 'no-owner' ? noOwnerRetryMs : overloadedRetryMs,
-				})
+			? Left(refusalIfNone)
 			: Left({
 					reason: 'held',
 					notRun: true,
@@ -131,29 +122,40 @@
 
 	/** Cold servers are sent only a few requests a second by all daemons together. */
 	#chooseByLoad(
-		{coldRate}: RoutedService,
+		{service, tried}: PickCriteria,
 		servers: readonly ListedServer[],
-		isRetry: boolean,
 	): Either<RequestEnd, ListedServer> {
 		const now = this.clock.now();
-		const rate = coldRate / this.view.view.value.daemons;
+		const rate = service.coldRate / this.view.view.value.daemons;
 		const warm = servers.filter(({coldMs}) => coldMs === 0);
-		const server = this.loads.choose(
-			warm.length > 0 ? warm : servers,
-			now,
-			isRetry,
-		);
+		const candidates = warm.length > 0 ? warm : servers;
+		const isRetry = !service.keyed && tried.length > 0;
+		const server = this.loads.choose(candidates, now, isRetry);
 		const isAdmitted =
 			server &&
 			(server.coldMs === 0 ||
 				this.loads.takeColdToken(server.backendServer, rate, now));
-		return isAdmitted
-			? Right(server)
-			: Left({
-					reason: 'overloaded',
-					notRun: true,
-					retryAfterMs: overloadedRetryMs,
-				});
+		return isAdmitted ? Right(server) : Left(this.#overloaded(candidates));
+	}
+
+	/** The refusal of a request for which no candidate has room; names the least loaded one. */
+	#overloaded(candidates: readonly ListedServer[]): RequestEnd {
+		const now = this.clock.now();
+		const loads = candidates.map((server) => this.loads.load(server, now));
+		const load = Math.min(...loads);
+		const {backendServer, coldMs} = candidates[loads.indexOf(load)];
+		return {
+			reason: 'overloaded',
+			notRun: true,
+			retryAfterMs: overloadedRetryMs,
+			full: {
+				backendServer,
+				load: load.toFixed(2),
+				maxLoad,
+				coldMs,
+				candidates: candidates.length,
+			},
+		};
 	}
 
 	#inService({service}: RoutedService): readonly ListedServer[] {
--- a/packages/fakes/test/gateway-refusals.test.ts
+++ b/packages/fakes/test/gateway-refusals.test.ts
@@ -119,16 +119,38 @@
 	await site.addServer('i-1', 'plain', (req, res, body) => {
 		sendAnswer(req, res, body);
 	});
-	const faults = [
-		"setTimeout(() => { throw new Error('thrown'); }, 2000);",
-		"setTimeout(() => { Promise.reject(new Error('rejected')); }, 2000);",
-		'setTimeout(() => { Promise.reject(undefined); }, 2000);',
-	].join('');
-	const url = `data:text/javascript,${encodeURIComponent(faults)}`;
-	await site.start({NODE_OPTIONS: `--import=${url}`});
+	const fault = `process.on('SIGUSR2', () => {
+		Promise.reject(new Error('rejected'));
+		Promise.reject(undefined);
+		throw new Error('thrown');
+	});`;
+	const url = `data:text/javascript,${encodeURIComponent(fault)}`;
+	await site.start(Object.fromEntries([['NODE_OPTIONS', `--import=${url}`]]));
+	site.signal('SIGUSR2');
 	await site.line('message=thrown');
 	await site.line('message=rejected');
 	await site.line('message=undefined');
 	t.is(await site.statusOf('/read/x'), 200);
 	t.is(await site.terminate(), 0);
 });
+
+test('the log line of a request refused as overloaded names the least loaded server, its load and the bound', async (t) => {
+	const site = createSite(t);
+	const finishers: Array<() => void> = [];
+	await site.addServer('i-1', 'plain', (req, res, body) => {
+		finishers.push(() => {
+			sendAnswer(req, res, body);
+		});
+	});
+	await site.start();
+	const pending = Array.from({length: 6}, async () => site.statusOf('/read/x'));
+	await until(async () => finishers.length === 6);
+	t.is(await site.statusOf('/read/x'), 503);
+	const line = await site.line('reason=overloaded');
+	t.regex(line, /backendServer=i-1 load=2.00 maxLoad=2 coldMs=0 candidates=1/);
+	for (const finish of finishers) {
+		finish();
+	}
+
+	t.deepEqual(new Set(await Promise.all(pending)), new Set([200]));
+});
--- a/packages/fakes/test/gateway-site.ts
+++ b/packages/fakes/test/gateway-site.ts
@@ -215,8 +215,8 @@
 		return this.#daemon!.line(`event=${event}`);
 	}
 
-	/** Stops the daemon process, or lets it continue. */
-	signal(name: 'SIGSTOP' | 'SIGCONT'): void {
+	/** Sends the daemon process a signal that does not end it. */
+	signal(name: 'SIGSTOP' | 'SIGCONT' | 'SIGUSR2'): void {
 		this.#daemon!.signal(name);
 	}
 
