--- a/packages/core/src/gateway/key-traffic.ts
+++ b/packages/core/src/gateway/key-traffic.ts
@@ -24,6 +24,19 @@
 const maxRequests = 20_000;
 const secondMs: Millis = 1000;
 
+/** Daemons above which reports get rarer: the keeper then hears of new traffic from others in the meantime. */
+const manyDaemons = 20;
+const minReportMs: Millis = 1000;
+/** No longer than the window, so that every request is reported. */
+const maxReportMs: Millis = windowMs;
+
+/** Between two reports of a daemon; `writesPerS` is the most that the reports of all daemons may write. */
+export function reportIntervalMs(daemons: number, writesPerS: number): Millis {
+	const wantedMs = (daemons / manyDaemons) * minReportMs;
+	const fittingMs = Math.min(maxReportMs, Math.max(minReportMs, wantedMs));
+	return Math.max(fittingMs, (daemons / writesPerS) * secondMs);
+}
+
 type KeyRequest = {readonly key: number; readonly at: Millis};
 
 /** Records the keys of the requests that one daemon handles. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -280,6 +280,7 @@
 } from './gateway/grant-ledger.js';
 export {
 	KeyRecorder,
+	reportIntervalMs,
 	totalTraffic,
 	type KeyTraffic,
 } from './gateway/key-traffic.js';
--- a/packages/daemon/src/gateway/fleet-traffic.ts
+++ b/packages/daemon/src/gateway/fleet-traffic.ts
@@ -16,7 +16,7 @@
 import {type Log} from '../log/log.js';
 
 /** A report that has not changed for this long is ignored: its daemon is gone or sees no requests. */
-const staleMs: Millis = 4000;
+const staleMs: Millis = 6000;
 
 type Report = {
 	readonly revision: number;
--- a/packages/daemon/src/gateway/server-notices.ts
+++ b/packages/daemon/src/gateway/server-notices.ts
@@ -18,7 +18,7 @@
 /** After a failed call to the store, entries that arrive within this time may have changed long before. */
 const catchUpMs: Millis = 6000;
 /** Share of the time that the platform allows within which a leaving server still gets requests that no other server can take. */
-const leavingShare = 0.5;
+const leavingShare = 0.35;
 /** Malformed fields are logged once for each server and field, up to this many. */
 const maxMalformedLogged = 1000;
 
--- a/packages/daemon/src/gateway/traffic-task.ts
+++ b/packages/daemon/src/gateway/traffic-task.ts
@@ -5,9 +5,9 @@
 import {
 	fold,
 	KeyRecorder,
+	reportIntervalMs,
 	type Clock,
 	type KeyTraffic,
-	type Millis,
 	type Random,
 } from '@kingcuproute/core';
 import {
@@ -23,11 +23,8 @@
 import {ServerPicks} from './server-picks.js';
 import {ViewTask} from './view-task.js';
 
-/** Between two reports, short enough to follow a key that is busy for a few seconds. */
-const reportMs: Millis = 1000;
 /** Share of the store's write rate that the reports of all daemons may take. */
 const writeShare = 0.1;
-const secondMs: Millis = 1000;
 
 @singleton()
 export class TrafficTask extends Task {
@@ -67,9 +64,8 @@
 		while (!this.#stopped) {
 			const {daemons} = this.view.view.value;
 			const writeRate = this.deployment.store.writeRate * writeShare;
-			const minIntervalMs = (daemons / writeRate) * secondMs;
 			await this.clock.sleep(
-				this.random.jitter(Math.max(reportMs, minIntervalMs)),
+				this.random.jitter(reportIntervalMs(daemons, writeRate)),
 			);
 			const now = this.clock.now();
 			const services = [...this.#recorders].map(
--- a/packages/daemon/src/gateway/view-task.ts
+++ b/packages/daemon/src/gateway/view-task.ts
@@ -23,6 +23,7 @@
 	parseRoutingConfig,
 	rangeTablesKind,
 	serversKind,
+	type Deployment,
 	type ObjectStore,
 	type StoredObject,
 } from '@kingcuproute/platform';
@@ -48,12 +49,16 @@
 };
 
 /**
- * How long changes of servers are gathered. Servers come, warm up and leave a few at a
- * time, and each change costs the store a call from every daemon. A quarter of the
- * shortest time within which daemons have to learn of leaving servers.
+ * For how long changes of servers are gathered, as a share of the time within which
+ * daemons have to stop using a leaving server. Servers come, warm up and leave a few at a
+ * time, and each change costs the store a call from every daemon.
  */
-const gatherServersMs: Millis = 500;
-
+const gatherServersShare = 0.3;
+/**
+ * For how long changes of range tables are gathered: as long as a keeper gathers moves. A
+ * request that goes to a former owner meanwhile is declined there and waits.
+ */
+const gatherTablesMs: Millis = 250;
 const maxFaultsLogged = 5;
 
 const emptyView: GatewayView = {
@@ -70,6 +75,7 @@
 	readonly view = new Topic<GatewayView>(emptyView);
 	readonly rangeTableObjects: KindFollower;
 	readonly #servers: KindFollower;
+	readonly #gatherServersMs: Millis;
 	readonly #followers: readonly KindFollower[];
 	#evacuated: ReadonlySet<string> = new Set();
 	readonly #lapseHold = new LapseHold();
@@ -80,6 +86,7 @@
 
 	constructor(
 		@inject('Store') store: ObjectStore,
+		@inject('Deployment') {bounds}: Deployment,
 		@inject('Clock') private readonly clock: Clock,
 		@inject('Random') random: Random,
 		@inject(GatewayMetrics) private readonly metrics: GatewayMetrics,
@@ -97,7 +104,9 @@
 		].map((kind) => follow(kind));
 		this.rangeTableObjects = rangeTables;
 		this.#servers = servers;
-		servers.gatherMs = gatherServersMs;
+		this.#gatherServersMs = bounds.drainMs * gatherServersShare;
+		servers.gatherMs = this.#gatherServersMs;
+		rangeTables.gatherMs = gatherTablesMs;
 		// One daemon more or less changes the other daemons' shares only a little.
 		daemons.slow = true;
 		this.#followers = [config, servers, evacuations, rangeTables, daemons];
@@ -139,7 +148,7 @@
 
 	/** Sets whether changes of backend servers arrive without delay: the keeper of their keys acts on each. */
 	followServersClosely(closely: boolean): void {
-		this.#servers.gatherMs = closely ? 0 : gatherServersMs;
+		this.#servers.gatherMs = closely ? 0 : this.#gatherServersMs;
 	}
 
 	override async start(): Promise<void> {
