--- a/packages/core/src/gateway/load-plan.ts
+++ b/packages/core/src/gateway/load-plan.ts
@@ -77,12 +77,7 @@
 	keys: RatedKeys,
 ): readonly KeyMove[] {
 	const byLoad = [...loadedServers];
-	let total = 0;
-	for (const {load} of loadedServers) {
-		total += load;
-	}
-
-	const mean = total / loadedServers.length;
+	const mean = meanLoad(loadedServers);
 	const ceiling = mean + ceilingSlack;
 	const crowdedFrom = Math.max(crowdedLoad, ceiling);
 	const moves: KeyMove[] = [];
@@ -90,12 +85,7 @@
 	while (moves.length < loadedServers.length) {
 		const donor = byLoad.pop();
 		const recipient = byLoad.find(({server}) => server.coldMs === 0);
-		if (
-			!donor ||
-			!recipient ||
-			donor.load < Math.max(minDonorLoad, mean + minLoadGap) ||
-			donor.load - recipient.load < minLoadGap
-		) {
+		if (!donor || !recipient || !isGapLarge(donor, recipient, mean)) {
 			break;
 		}
 
@@ -107,19 +97,43 @@
 		const run = bestRun(donor, recipient, {keys, ceiling});
 		// A donor without a run that helps stays out of this plan.
 		if (run) {
-			const {from, to, holder, rate} = run;
+			const {from, to, holder} = run;
 			moves.push({from, to, holder, target: recipient.server});
 			easyMoves += isEasy ? 1 : 0;
 			byLoad.splice(byLoad.indexOf(recipient), 1);
 			insertByLoad(byLoad, withoutRun(donor, run));
-			const load = recipient.load + rate * recipient.cost;
-			insertByLoad(byLoad, {...recipient, load});
+			insertByLoad(byLoad, withRun(recipient, run));
 		}
 	}
 
 	return moves;
 }
 
+function meanLoad(servers: readonly LoadedServer[]): number {
+	let total = 0;
+	for (const {load} of servers) {
+		total += load;
+	}
+
+	return total / servers.length;
+}
+
+function isGapLarge(
+	donor: LoadedServer,
+	recipient: LoadedServer,
+	mean: number,
+): boolean {
+	return (
+		donor.load >= Math.max(minDonorLoad, mean + minLoadGap) &&
+		donor.load - recipient.load >= minLoadGap
+	);
+}
+
+/** The recipient of a run. The run is not among its ranges, since its holder has to release it first. */
+function withRun(recipient: LoadedServer, {rate}: KeyRun): LoadedServer {
+	return {...recipient, load: recipient.load + rate * recipient.cost};
+}
+
 function withoutRun(
 	donor: LoadedServer,
 	{from, to, holder, rate}: KeyRun,
--- a/packages/daemon/src/gateway/gateway-exchange.ts
+++ b/packages/daemon/src/gateway/gateway-exchange.ts
@@ -19,7 +19,7 @@
 import {RequestBody} from '../requests/request-body.js';
 import {closeIfStopping, type CallerExchange} from './caller-exchange.js';
 import {type ExchangeContext} from './exchange-context.js';
-import {sendEnd, type RequestEnd} from './request-end.js';
+import {endAfterFailure, sendEnd, type RequestEnd} from './request-end.js';
 import {type PickCriteria} from './server-picks.js';
 import {holdLen, GatewayAttempt} from './gateway-attempt.js';
 
@@ -35,8 +35,6 @@
 const ownerPollMs: Millis = 25;
 /** Turns of the event loop it takes to read the end of a connection, close it and emit the close event. */
 const turnsUntilClose = 4;
-/** About the run time of the shortest requests: a slot is likely to be free by then. */
-const declinedRetryMs: Millis = 300;
 
 type RoutedRequest = {
 	readonly id: string;
@@ -308,22 +306,3 @@
 		await new Promise(setImmediate);
 	}
 }
-
-/** What the caller is told after a failed attempt; `refusal` is why there is no further one. */
-function endAfterFailure(
-	end: AttemptEnd,
-	refusal: RequestEnd | undefined,
-): RequestEnd {
-	if (ranAfter(end) === 'not-run') {
-		return (
-			refusal ?? {
-				reason: 'declined',
-				notRun: true,
-				retryAfterMs: declinedRetryMs,
-			}
-		);
-	}
-
-	const isSilent = end.kind === 'lost' && end.silent;
-	return {reason: isSilent ? 'timeout' : 'lost', notRun: false};
-}
--- a/packages/daemon/src/gateway/request-end.ts
+++ b/packages/daemon/src/gateway/request-end.ts
@@ -1,6 +1,6 @@
 /** The daemon's own answers to callers, sent when no backend server's answer can be. */
 import {type ServerResponse} from 'node:http';
-import {type Millis} from '@kingcuproute/core';
+import {ranAfter, type AttemptEnd, type Millis} from '@kingcuproute/core';
 
 /** Why a request was refused or failed. */
 export type Reason =
@@ -34,6 +34,8 @@
 };
 
 const secondMs: Millis = 1000;
+/** About the run time of the shortest requests: a slot is likely to be free by then. */
+const declinedRetryMs: Millis = 300;
 
 const notRunStatuses: Readonly<Partial<Record<Reason, number>>> = {
 	'no-route': 404,
@@ -69,3 +71,22 @@
 	res.writeHead(statusOf(end), headers);
 	res.end(JSON.stringify({reason, notRun: end.notRun}));
 }
+
+/** What the caller is told after a failed attempt; `refusal` is why there is no further one. */
+export function endAfterFailure(
+	end: AttemptEnd,
+	refusal: RequestEnd | undefined,
+): RequestEnd {
+	if (ranAfter(end) === 'not-run') {
+		return (
+			refusal ?? {
+				reason: 'declined',
+				notRun: true,
+				retryAfterMs: declinedRetryMs,
+			}
+		);
+	}
+
+	const isSilent = end.kind === 'lost' && end.silent;
+	return {reason: isSilent ? 'timeout' : 'lost', notRun: false};
+}
