--- a/packages/fakes/src/platform/stand-in-store.ts
+++ b/packages/fakes/src/platform/stand-in-store.ts
@@ -72,6 +72,17 @@
 		this.#addChange({rev: this.#rev, kind, removed: false, object});
 	}
 
+	/** Sets the state in a backend server's entry to draining. */
+	markDraining(name: string): void {
+		const kind = 'servers';
+		const {text} = this.#kinds.get(kind)!.get(name)!;
+		const {spec, status} = JSON.parse(text) as ObjectDocument;
+		this.put(kind, name, spec, {
+			...(status as Record<string, unknown>),
+			state: 'draining',
+		});
+	}
+
 	remove(kind: string, name: string): boolean {
 		const object = this.#kinds.get(kind)?.get(name);
 		if (!object) {
--- a/packages/fakes/test/gateway-notices.test.ts
+++ b/packages/fakes/test/gateway-notices.test.ts
@@ -116,3 +116,42 @@
 		.filter((line) => line.includes('event=answer-field-ignored'));
 	t.is(ignored.length, 2);
 });
+
+test('after a restart of the daemon a server that is leaving gets no requests, and no former holder gets those for its keys', async (t) => {
+	const site = createSite(t);
+	const runs: string[] = [];
+	for (const [name, service] of [
+		['i-1', 'plain'],
+		['i-2', 'plain'],
+		['k-1', 'keyed'],
+	]) {
+		await site.addServer(name, service, (req, res, body) => {
+			runs.push(name);
+			sendAnswer(req, res, body);
+		});
+	}
+
+	await site.start();
+	const key = {'x-kingcuproute-shard-key': '7'};
+	await until(async () => (await site.statusOf('/clock/', key)) === 200);
+	await site.addServer('k-2', 'keyed', (req, res, body) => {
+		runs.push('k-2');
+		sendAnswer(req, res, body);
+	});
+	site.store.markDraining('k-1');
+	site.store.markDraining('i-1');
+	await until(async () => {
+		runs.length = 0;
+		await site.statusOf('/clock/', key);
+		return runs.includes('k-2');
+	});
+	await site.restart();
+	runs.length = 0;
+	await until(async () => (await site.statusOf('/clock/', key)) === 200);
+	for (let count = 0; count < 10; count++) {
+		t.is(await site.statusOf('/read/x'), 200);
+		t.is(await site.statusOf('/clock/', key), 200);
+	}
+
+	t.deepEqual([...new Set(runs)].sort(), ['i-2', 'k-2']);
+});
--- a/packages/fakes/test/gateway-site.ts
+++ b/packages/fakes/test/gateway-site.ts
@@ -155,14 +155,13 @@
 		];
 		writeFileSync(file, settings.join('\n'));
 		this.settingsFile = file;
-		this.#daemon = new Child('gateway', main, [], {
-			...variables,
-			[settingsVariable]: file,
-		});
-		const line = await this.#daemon.line('event=listening');
-		[, this.entry, this.readiness] =
-			/entry=(\S+) readiness=(\S+)/.exec(line) ?? [];
-		await until(async () => (await this.readinessStatus()) === 200);
+		await this.#startDaemon(variables);
+	}
+
+	/** Ends the daemon with SIGTERM and starts it again with the same settings. */
+	async restart(): Promise<void> {
+		await this.terminate();
+		await this.#startDaemon({});
 	}
 
 	async readinessStatus(): Promise<number> {
@@ -235,6 +234,19 @@
 
 		rmSync(this.#folder, {recursive: true});
 	}
+
+	async #startDaemon(
+		variables: Readonly<Record<string, string>>,
+	): Promise<void> {
+		this.#daemon = new Child('gateway', main, [], {
+			...variables,
+			[settingsVariable]: this.settingsFile,
+		});
+		const line = await this.#daemon.line('event=listening');
+		[, this.entry, this.readiness] =
+			/entry=(\S+) readiness=(\S+)/.exec(line) ?? [];
+		await until(async () => (await this.readinessStatus()) === 200);
+	}
 }
 
 /** A site that is stopped when the test ends. */
