--- a/packages/daemon/src/requests/caller-connection.ts
+++ b/packages/daemon/src/requests/caller-connection.ts
@@ -67,16 +67,12 @@
 	/** Lets the requests start whose turn has come. */
 	startWaiting(): void {
 		const ahead: Array<Repeatability | undefined> = [];
-		for (const turn of this.#turns) {
+		for (const turn of this.#answerableTurns()) {
 			const {repeatability} = turn;
 			if (repeatability && mayStartBehind(ahead, repeatability)) {
 				turn.start();
 			}
 
-			if (turn === this.#closesAfter) {
-				return;
-			}
-
 			ahead.push(repeatability);
 		}
 	}
@@ -108,6 +104,19 @@
 		this.#checkAnswered();
 	}
 
+	/** The requests that no closing of the connection comes before. */
+	#answerableTurns(): readonly Turn[] {
+		// An answer that ends its connection has ended it before it counts as finished.
+		if (!this.socket.writable) {
+			return [];
+		}
+
+		const last = this.#closesAfter;
+		return last
+			? this.#turns.slice(0, this.#turns.indexOf(last) + 1)
+			: this.#turns;
+	}
+
 	#checkAnswered(): void {
 		if (this.#turns.every(({req}) => !req.complete)) {
 			this.#afterAnswers?.();
