--- a/packages/daemon/src/gateway/gateway-metrics.ts
+++ b/packages/daemon/src/gateway/gateway-metrics.ts
@@ -40,6 +40,13 @@
 		registers: [this.#registry],
 	});
 
+	readonly #storeCalls = new Counter({
+		name: 'kingcuproute_gateway_store_calls_total',
+		help: 'Calls to the store, by kind of object and call; a list of several pages counts once',
+		labelNames: ['kind', 'call'] as const,
+		registers: [this.#registry],
+	});
+
 	get contentType(): string {
 		return this.#registry.contentType;
 	}
@@ -64,6 +71,13 @@
 		this.#unreadable.inc({kind}, count);
 	}
 
+	storeCalled(
+		kind: string,
+		call: 'list' | 'list-stale' | 'watch' | 'write' | 'remove',
+	): void {
+		this.#storeCalls.inc({kind, call});
+	}
+
 	serverNotice(notice: 'leaving' | 'hold' | 'malformed'): void {
 		this.#notices.inc({notice});
 	}
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -19,7 +19,9 @@
 import {container} from 'tsyringe';
 import {Log} from '../log/log.js';
 import {logUnexpectedErrors} from '../log/unexpected-errors.js';
+import {CountedStore} from './counted-store.js';
 import {GatewayEntryTask} from './gateway-entry-task.js';
+import {GatewayMetrics} from './gateway-metrics.js';
 import {KeepersTask} from './keepers-task.js';
 import {TrafficTask} from './traffic-task.js';
 import {ViewTask} from './view-task.js';
@@ -47,7 +49,10 @@
 		child.registerInstance(Log, this.#log);
 		child.registerInstance<ObjectStore>(
 			'Store',
-			new HttpObjectStore(deployment.store.address, clock),
+			new CountedStore(
+				new HttpObjectStore(deployment.store.address, clock),
+				child.resolve(GatewayMetrics),
+			),
 		);
 		child.registerInstance<KeyOrders>('KeyOrders', new HttpKeyOrders(clock));
 		this.#view = child.resolve(ViewTask);
--- a/packages/fakes/test/gateway-config.test.ts
+++ b/packages/fakes/test/gateway-config.test.ts
@@ -61,4 +61,6 @@
 	const text = await metrics.body.text();
 	t.regex(text, /kingcuproute_gateway_unreadable_total{kind="config"} 2/);
 	t.regex(text, /outcome="no-service"} 1/);
+	t.regex(text, /store_calls_total{kind="config",call="list"} 1/);
+	t.regex(text, /store_calls_total{kind="config",call="watch"} [1-9]/);
 });
