--- a/packages/core/src/gateway/key-traffic.ts
+++ b/packages/core/src/gateway/key-traffic.ts
@@ -15,7 +15,7 @@
 };
 
 /** Long enough to see a few dozen requests on a small site, short enough to notice quickly when a key becomes busy. */
-const windowMs: Millis = 3000;
+export const trafficWindowMs: Millis = 3000;
 /** Rates are not extrapolated from a shorter time than this. */
 const minSpanMs: Millis = 1000;
 /** Most keys that one daemon reports: a few kB, and more than it sees in a window on a small site. */
@@ -24,19 +24,6 @@
 const maxRequests = 20_000;
 const secondMs: Millis = 1000;
 
-/** Daemons above which reports get rarer: the keeper then hears of new traffic from others in the meantime. */
-const manyDaemons = 20;
-const minReportMs: Millis = 1000;
-/** No longer than the window, so that every request is reported. */
-const maxReportMs: Millis = windowMs;
-
-/** Between two reports of a daemon; `writesPerS` is the most that the reports of all daemons may write. */
-export function reportIntervalMs(daemons: number, writesPerS: number): Millis {
-	const wantedMs = (daemons / manyDaemons) * minReportMs;
-	const fittingMs = Math.min(maxReportMs, Math.max(minReportMs, wantedMs));
-	return Math.max(fittingMs, (daemons / writesPerS) * secondMs);
-}
-
 type KeyRequest = {readonly key: number; readonly at: Millis};
 
 /** Records the keys of the requests that one daemon handles. */
@@ -64,7 +51,7 @@
 
 		// Early requests would be taken for few if they counted for the whole window.
 		const observedMs = now - (this.#firstAt ?? now);
-		const spanMs = Math.min(windowMs, Math.max(minSpanMs, observedMs));
+		const spanMs = Math.min(trafficWindowMs, Math.max(minSpanMs, observedMs));
 		const sample = thresholdSample(counts, maxKeys, this.random.fraction());
 		return new Map(
 			[...sample].map(([key, count]) => [key, (count * secondMs) / spanMs]),
@@ -73,7 +60,7 @@
 
 	#recent(now: Millis): KeyRequest[] {
 		return this.#requests
-			.filter(({at}) => now - at < windowMs)
+			.filter(({at}) => now - at < trafficWindowMs)
 			.slice(-maxRequests / 2);
 	}
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -280,10 +280,16 @@
 } from './gateway/grant-ledger.js';
 export {
 	KeyRecorder,
-	reportIntervalMs,
 	totalTraffic,
 	type KeyTraffic,
 } from './gateway/key-traffic.js';
+export {
+	isReportDue,
+	reportExpiryMs,
+	reportIntervalMs,
+	type SentReport,
+	type ServiceRates,
+} from './gateway/report-plan.js';
 export {planLoadMoves} from './gateway/load-plan.js';
 export {LapseHold} from './gateway/lapse-hold.js';
 export {LeavingServers} from './gateway/leaving-servers.js';
--- a/packages/core/test/gateway/key-load.test.ts
+++ b/packages/core/test/gateway/key-load.test.ts
@@ -6,7 +6,6 @@
 	applyMove,
 	planKeyMoves,
 	planLoadMoves,
-	reportIntervalMs,
 	SeededRandom,
 	totalTraffic,
 	type KeyTraffic,
@@ -160,15 +159,6 @@
 	t.is(recorder.rates(1500).get(7), 10);
 });
 
-test('reports get rarer in a large fleet, down to one a window, and stay within the rate of writes', (t) => {
-	t.is(reportIntervalMs(1, 40), 1000);
-	t.is(reportIntervalMs(11, 40), 1000);
-	t.is(reportIntervalMs(40, 120), 2000);
-	t.is(reportIntervalMs(195, 320), 3000);
-	t.is(reportIntervalMs(4400, 320), 13_750);
-	t.is(reportIntervalMs(10, 2), 5000);
-});
-
 test('rates of all daemons add up, and run times are averaged', (t) => {
 	const total = totalTraffic([
 		{rates: new Map([[1, 2]]), runMs: new Map([['a', 100]])},
--- a/packages/daemon/src/gateway/fleet-traffic.ts
+++ b/packages/daemon/src/gateway/fleet-traffic.ts
@@ -15,9 +15,6 @@
 } from '@kingcuproute/platform';
 import {type Log} from '../log/log.js';
 
-/** A report that has not changed for this long is ignored: its daemon is gone or sees no requests. */
-const staleMs: Millis = 6000;
-
 type Report = {
 	readonly revision: number;
 	readonly changedAt: Millis;
@@ -31,13 +28,16 @@
 		private readonly store: ObjectStore,
 		private readonly clock: Clock,
 		private readonly log: Log,
+		/** The age from which a report that has not changed counts no more. */
+		private readonly expiryMs: () => Millis,
 	) {}
 
 	/** The total traffic of a service, without outdated reports. */
 	of(service: string): KeyTraffic {
 		const now = this.clock.now();
+		const expiryMs = this.expiryMs();
 		const parts = [...this.#reports.values()]
-			.filter(({changedAt}) => now - changedAt < staleMs)
+			.filter(({changedAt}) => now - changedAt < expiryMs)
 			.flatMap(({services}) => services.get(service) ?? []);
 		return totalTraffic(parts);
 	}
--- a/packages/daemon/src/gateway/keepers-task.ts
+++ b/packages/daemon/src/gateway/keepers-task.ts
@@ -1,5 +1,10 @@
 /** Runs a keeper for each service divided by key, and registers this daemon with the others. */
-import {type Clock, type Millis, type Random} from '@kingcuproute/core';
+import {
+	reportExpiryMs,
+	type Clock,
+	type Millis,
+	type Random,
+} from '@kingcuproute/core';
 import {
 	daemonsKind,
 	keepersKind,
@@ -16,11 +21,12 @@
 import {KeyKeeper} from './key-keeper.js';
 import {KindFollower} from './kind-follower.js';
 import {ServerNotices} from './server-notices.js';
+import {trafficWriteRate} from './traffic-task.js';
 import {ViewTask} from './view-task.js';
 
 /** Between two attempts to register; jittered, because all daemons try at once after an outage of the store. */
 const registerRetryMs: Millis = 1000;
-/** As often as daemons report their traffic. */
+/** As often as daemons report changed traffic. */
 const readTrafficMs: Millis = 1000;
 /** Number of daemons that watch every beat, to take over from a keeper at once; the others list the leases now and then. */
 const standbyCount = 3;
@@ -45,7 +51,9 @@
 		@inject(Log) private readonly log: Log,
 	) {
 		super();
-		this.#traffic = new FleetTraffic(store, clock, log);
+		this.#traffic = new FleetTraffic(store, clock, log, () =>
+			reportExpiryMs(view.view.value.daemons, trafficWriteRate(deployment)),
+		);
 		this.#leases = new KindFollower(keepersKind, {
 			store,
 			clock,
--- a/packages/daemon/src/gateway/traffic-task.ts
+++ b/packages/daemon/src/gateway/traffic-task.ts
@@ -4,11 +4,13 @@
  */
 import {
 	fold,
+	isReportDue,
 	KeyRecorder,
 	reportIntervalMs,
 	type Clock,
 	type KeyTraffic,
 	type Random,
+	type SentReport,
 } from '@kingcuproute/core';
 import {
 	keyTrafficKind,
@@ -30,6 +32,7 @@
 export class TrafficTask extends Task {
 	readonly #recorders = new Map<string, KeyRecorder>();
 	#revision: number | undefined;
+	#lastReport: SentReport | undefined;
 	#stopped = false;
 
 	constructor(
@@ -63,18 +66,18 @@
 	async #run(): Promise<void> {
 		while (!this.#stopped) {
 			const {daemons} = this.view.view.value;
-			const writeRate = this.deployment.store.writeRate * writeShare;
+			const writeRate = trafficWriteRate(this.deployment);
 			await this.clock.sleep(
 				this.random.jitter(reportIntervalMs(daemons, writeRate)),
 			);
 			const now = this.clock.now();
 			const services = [...this.#recorders].map(
-				([service, recorder]) =>
-					[service, this.#trafficOf(service, recorder.rates(now))] as const,
+				([service, recorder]) => [service, recorder.rates(now)] as const,
 			);
-			const busy = services.filter(([, {rates}]) => rates.size > 0);
-			if (busy.length > 0 && !this.#stopped) {
-				await this.#report(new Map(busy));
+			const rates = new Map(services.filter(([, {size}]) => size > 0));
+			const isDue = isReportDue(this.#lastReport, rates, now);
+			if (rates.size > 0 && isDue && !this.#stopped) {
+				await this.#report({rates, at: now});
 			}
 		}
 	}
@@ -84,7 +87,13 @@
 		return {rates, runMs: this.picks.loads.runTimes(servers)};
 	}
 
-	async #report(services: ReadonlyMap<string, KeyTraffic>): Promise<void> {
+	async #report(report: SentReport): Promise<void> {
+		const services = new Map(
+			[...report.rates].map(
+				([service, rates]) =>
+					[service, this.#trafficOf(service, rates)] as const,
+			),
+		);
 		const written = await this.store.write({
 			kind: keyTrafficKind,
 			name: this.deployment.vm,
@@ -103,7 +112,13 @@
 			},
 			({revision}) => {
 				this.#revision = revision;
+				this.#lastReport = report;
 			},
 		);
 	}
 }
+
+/** Writes a second that the reports of all daemons may take. */
+export function trafficWriteRate({store}: Deployment): number {
+	return store.writeRate * writeShare;
+}
