--- a/packages/daemon/src/gateway/counted-store.ts
+++ b/packages/daemon/src/gateway/counted-store.ts
@@ -16,9 +16,14 @@
 		return this.store.list(kind, stale);
 	}
 
-	override async watch(kind: string, revision: number, waitMs: Millis) {
-		this.metrics.storeCalled(kind, 'watch');
-		return this.store.watch(kind, revision, waitMs);
+	override async watch(
+		kind: string,
+		revision: number,
+		waitMs: Millis,
+		stale = false,
+	) {
+		this.metrics.storeCalled(kind, stale ? 'watch-stale' : 'watch');
+		return this.store.watch(kind, revision, waitMs, stale);
 	}
 
 	override async write(write: ObjectWrite) {
--- a/packages/daemon/src/gateway/gateway-metrics.ts
+++ b/packages/daemon/src/gateway/gateway-metrics.ts
@@ -73,7 +73,7 @@
 
 	storeCalled(
 		kind: string,
-		call: 'list' | 'list-stale' | 'watch' | 'write' | 'remove',
+		call: 'list' | 'list-stale' | 'watch' | 'watch-stale' | 'write' | 'remove',
 	): void {
 		this.#storeCalls.inc({kind, call});
 	}
--- a/packages/daemon/src/gateway/kind-follower.ts
+++ b/packages/daemon/src/gateway/kind-follower.ts
@@ -1,19 +1,25 @@
 /**
  * Keeps a copy of all objects of one kind in the platform's store. Lists them once and
  * then follows changes by long polls, or, where changes may be seconds late, lists them
- * periodically.
+ * periodically. The answer of a long poll may get lost without a sign, so that cheap
+ * calls check in between whether it has missed a change.
  */
 import {fold, type Clock, type Millis, type Random} from '@kingcuproute/core';
 import {
 	errorText,
+	type ObjectChanges,
+	type ObjectError,
 	type ObjectStore,
 	type StoredObject,
 } from '@kingcuproute/platform';
+import {type Either} from 'purify-ts';
 import {type Log} from '../log/log.js';
 import {Topic} from '../task/topic.js';
 
-/** Duration of a long poll, short enough to notice a silent connection within a few seconds. */
-const waitMs: Millis = 5000;
+/** Duration of a long poll: shorter than the store keeps its history. */
+const waitMs: Millis = 15_000;
+/** Between two checks of a long poll, to notice a silent connection within a few seconds; jittered, because all daemons do this. */
+const checkMs: Millis = 3000;
 /** Duration of a long poll while the store does not answer: a call that hangs is given up soon, so that changes arrive soon after the store is back. */
 const probeMs: Millis = 500;
 /** Between two lists of a kind that is followed slowly; jittered, because all daemons do this. */
@@ -29,6 +35,8 @@
 
 export type Objects = ReadonlyMap<string, StoredObject>;
 
+type ChangeList = Either<ObjectError, ObjectChanges>;
+
 export type FollowerContext = {
 	readonly store: ObjectStore;
 	readonly clock: Clock;
@@ -130,12 +138,16 @@
 	}
 
 	async #watch(since: number): Promise<string | undefined> {
-		const timeoutMs = this.#isUp === false ? probeMs : waitMs;
-		const changeList = await this.context.store.watch(
-			this.kind,
-			since,
-			timeoutMs,
-		);
+		const {store} = this.context;
+		this.#hadChanges = false;
+		const changeList =
+			this.#isUp === false
+				? await store.watch(this.kind, since, probeMs)
+				: await this.#checkedWatch(since);
+		if (!changeList) {
+			return undefined;
+		}
+
 		return fold(
 			changeList,
 			(error): string | undefined => {
@@ -169,6 +181,41 @@
 		);
 	}
 
+	/**
+	 * A long poll, given up with undefined if a check shows that it has missed a change. A
+	 * check that fails ends it as well: its connection may have been lost at the same time.
+	 */
+	async #checkedWatch(since: number): Promise<ChangeList | undefined> {
+		const {store, clock, random} = this.context;
+		let hasEnded = false;
+		const watch = async () => {
+			const changeList = await store.watch(this.kind, since, waitMs);
+			hasEnded = true;
+			return changeList;
+		};
+
+		const check = async (watched: Promise<ChangeList>) => {
+			for (;;) {
+				await clock.sleep(random.jitter(checkMs));
+				if (hasEnded || this.#stopped) {
+					return watched;
+				}
+
+				const missed = await store.watch(this.kind, since, 0, true);
+				if (missed.isLeft()) {
+					return missed;
+				}
+
+				if (missed.unsafeCoerce().changes.length > 0) {
+					return undefined;
+				}
+			}
+		};
+
+		const watched = watch();
+		return Promise.race([watched, check(watched)]);
+	}
+
 	#logUnreadable(names: readonly string[]): void {
 		const newNames = names.filter((name) => !this.#unreadable.has(name));
 		if (newNames.length > 0) {
--- a/packages/platform/src/http-object-store.ts
+++ b/packages/platform/src/http-object-store.ts
@@ -30,7 +30,7 @@
 /** Eight times the longest page, since the changes that a watch returns are not divided into pages. */
 const maxAnswerLen = 8_388_608;
 const maxMessageLen = 200;
-const staleQuery = {staleOk: '1'};
+const staleQuery: Readonly<Record<string, string>> = {staleOk: '1'};
 
 type Call = {
 	readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
@@ -105,8 +105,13 @@
 		kind: string,
 		revision: number,
 		waitMs: Millis,
+		stale = false,
 	): Promise<Either<ObjectError, ObjectChanges>> {
-		const query = {watch: String(revision), waitMs: String(waitMs)};
+		const query = {
+			watch: String(revision),
+			waitMs: String(waitMs),
+			...(stale && staleQuery),
+		};
 		const call: Call = {
 			method: 'GET',
 			path: pathOf(kind, undefined, query),
--- a/packages/platform/src/object-store.ts
+++ b/packages/platform/src/object-store.ts
@@ -53,11 +53,16 @@
 		stale?: boolean,
 	): Promise<Either<ObjectError, ObjectListing>>;
 
-	/** Resolves with the changes after `revision` as soon as there are any, or with none after `waitMs`. */
+	/**
+	 * Resolves with the changes after `revision` as soon as there are any, or with none
+	 * after `waitMs`. With `stale`, it may miss changes of the last seconds and costs as
+	 * little as such a list.
+	 */
 	abstract watch(
 		kind: string,
 		revision: number,
 		waitMs: Millis,
+		stale?: boolean,
 	): Promise<Either<ObjectError, ObjectChanges>>;
 
 	abstract write(
