--- a/packages/daemon/src/gateway/gateway-attempt.ts
+++ b/packages/daemon/src/gateway/gateway-attempt.ts
@@ -49,6 +49,7 @@
 	#attempt: Attempt | undefined;
 	/** The load that the server reported with its answer. */
 	#load: ServerLoad | undefined;
+	#isMisdirected = false;
 	readonly #lease: BufferLease;
 
 	constructor(
@@ -106,6 +107,12 @@
 			log.info('attempt-failed', {id, backendServer, end: end.kind, message});
 		}
 
+		const mayBeOutdated =
+			this.#isMisdirected || end.kind === 'lost' || end.kind === 'unsent';
+		if (key !== undefined && mayBeOutdated) {
+			view.suspectRangeTables();
+		}
+
 		if (end.kind === 'lost' && end.silent) {
 			connections.retire(address, dispatcher);
 		}
@@ -151,7 +158,8 @@
 		const {picks, clock, notices} = this.context;
 		const {id, server} = this.plan;
 		const metadata = readAnswerMetadata(status, headers);
-		const {requestId, notRun, encoded, load} = metadata;
+		const {requestId, notRun, misdirected, encoded, load} = metadata;
+		this.#isMisdirected = misdirected;
 		if (requestId !== id) {
 			const message = `answer to request ${requestId ?? 'without an id'}`;
 			return {kind: 'unusable', message};
--- a/packages/daemon/src/gateway/gateway-exchange.ts
+++ b/packages/daemon/src/gateway/gateway-exchange.ts
@@ -178,7 +178,7 @@
 	async #sendUntilAnswered(
 		request: RoutedRequest,
 	): Promise<RequestEnd | undefined> {
-		const {picks, clock, budgets, traffic} = this.context;
+		const {picks, clock, budgets, traffic, view} = this.context;
 		const {service, key} = request;
 		const refusal = this.#refusalBeforeSending(request);
 		if (refusal) {
@@ -197,9 +197,12 @@
 			const picked = picks.pick({service, key, tried, lastFailure});
 			if (picked.isLeft()) {
 				const refusal = picked.extract();
-				if (refusal.reason === 'no-owner' && this.#mayWaitForOwner(request)) {
-					await clock.sleep(ownerPollMs);
-					continue;
+				if (refusal.reason === 'no-owner') {
+					view.suspectRangeTables();
+					if (this.#mayWaitForOwner(request)) {
+						await clock.sleep(ownerPollMs);
+						continue;
+					}
 				}
 
 				return reportedEnd ? endAfterFailure(reportedEnd, refusal) : refusal;
--- a/packages/daemon/src/gateway/kind-follower.ts
+++ b/packages/daemon/src/gateway/kind-follower.ts
@@ -51,6 +51,10 @@
 	slow = false;
 	/** Pause after a change, so that the next call returns all changes that follow closely. */
 	gatherMs: Millis = 0;
+	/** The shortest that this pause gets by `hurry`. */
+	minGatherMs: Millis = 0;
+	#isUrgent = false;
+	#endGathering: (() => void) | undefined;
 	#hadChanges = false;
 	#lastFailureAt: Millis = -Infinity;
 	#revision: number | undefined;
@@ -73,6 +77,12 @@
 		void this.#run();
 	}
 
+	/** Ends the pause after a change early, because the objects seem to be outdated. */
+	hurry(): void {
+		this.#isUrgent = true;
+		this.#endGathering?.();
+	}
+
 	stop(): void {
 		this.#stopped = true;
 	}
@@ -89,11 +99,25 @@
 			if (error !== undefined) {
 				await this.context.clock.sleep(this.context.random.jitter(retryMs));
 			} else if (this.#hadChanges && this.gatherMs > 0) {
-				await this.context.clock.sleep(this.gatherMs);
+				await this.#gather();
 			}
 		}
 	}
 
+	/** Lets changes gather at the store for `gatherMs`, or less if somebody needs them. */
+	async #gather(): Promise<void> {
+		const {clock} = this.context;
+		const minMs = Math.min(this.minGatherMs, this.gatherMs);
+		this.#isUrgent = false;
+		await clock.sleep(minMs);
+		if (!this.#isUrgent) {
+			const hurried = new Promise<void>((resolve) => {
+				this.#endGathering = resolve;
+			});
+			await Promise.race([clock.sleep(this.gatherMs - minMs), hurried]);
+		}
+	}
+
 	/** Makes one call to the store; returns the error, if any. An exception while the answer is processed counts as a failed call. */
 	async #poll(isSlow: boolean): Promise<string | undefined> {
 		try {
--- a/packages/daemon/src/gateway/view-task.ts
+++ b/packages/daemon/src/gateway/view-task.ts
@@ -55,10 +55,13 @@
  */
 const gatherServersShare = 0.3;
 /**
- * For how long changes of range tables are gathered: as long as a keeper gathers moves. A
- * request that goes to a former owner meanwhile is declined there and waits.
+ * For how long changes of range tables are gathered: as long as a keeper waits between two
+ * plans. A request that goes to a former owner meanwhile is declined there, which ends the
+ * pause.
  */
-const gatherTablesMs: Millis = 250;
+const gatherTablesMs: Millis = 2000;
+/** The shortest such pause: as long as a keeper gathers moves. */
+const minGatherTablesMs: Millis = 250;
 const maxFaultsLogged = 5;
 
 const emptyView: GatewayView = {
@@ -107,6 +110,7 @@
 		this.#gatherServersMs = bounds.drainMs * gatherServersShare;
 		servers.gatherMs = this.#gatherServersMs;
 		rangeTables.gatherMs = gatherTablesMs;
+		rangeTables.minGatherMs = minGatherTablesMs;
 		// One daemon more or less changes the other daemons' shares only a little.
 		daemons.slow = true;
 		this.#followers = [config, servers, evacuations, rangeTables, daemons];
@@ -146,6 +150,11 @@
 		return this.#servers.lastFailureAt;
 	}
 
+	/** To be called when a key has no owner in the range tables, or its owner did not answer a request or does not hold it. */
+	suspectRangeTables(): void {
+		this.rangeTableObjects.hurry();
+	}
+
 	/** Sets whether changes of backend servers arrive without delay: the keeper of their keys acts on each. */
 	followServersClosely(closely: boolean): void {
 		this.#servers.gatherMs = closely ? 0 : this.#gatherServersMs;
--- a/packages/daemon/test/kind-follower.test.ts
+++ b/packages/daemon/test/kind-follower.test.ts
@@ -148,6 +148,35 @@
 	follower.stop();
 });
 
+test('a pause in which changes gather ends early once they are needed, but not before its least length', async (t) => {
+	const {clock, store, follower} = followerOfFakeStore();
+	store.endsOnChange = true;
+	follower.gatherMs = 2000;
+	follower.minGatherMs = 250;
+	follower.start();
+	await clock.advance(100);
+	const knownRevision = () => follower.objects.value!.get('a')!.revision;
+	store.held = [storedObject('a', 2)];
+	await clock.advance(100);
+	t.is(knownRevision(), 2);
+	store.held = [storedObject('a', 3)];
+	follower.hurry();
+	await clock.advance(100);
+	t.is(knownRevision(), 2);
+	await clock.advance(200);
+	t.is(knownRevision(), 3);
+	store.held = [storedObject('a', 4)];
+	await clock.advance(1000);
+	t.is(knownRevision(), 3);
+	follower.hurry();
+	await clock.advance(10);
+	t.is(knownRevision(), 4);
+	store.held = [storedObject('a', 5)];
+	await clock.advance(2100);
+	t.is(knownRevision(), 5);
+	follower.stop();
+});
+
 test('a kind that does not change costs the store at most a full call in eight seconds', async (t) => {
 	const {clock, store, follower} = followerOfFakeStore();
 	follower.start();
--- a/packages/fakes/test/gateway-slow-readers.test.ts
+++ b/packages/fakes/test/gateway-slow-readers.test.ts
@@ -59,7 +59,7 @@
 	test(`${what} take bounded memory, and others are served beside them`, async (t) => {
 		const site = await startDownloads(t);
 		const readers: CallerSocket[] = [];
-		for (const count of [1, 100, 500]) {
+		for (const count of [1, 100, 500, 1000]) {
 			while (readers.length < count) {
 				const reader = await CallerSocket.open(site.entry);
 				reader.pause();
--- a/packages/platform/src/request-fields.ts
+++ b/packages/platform/src/request-fields.ts
@@ -56,6 +56,8 @@
 	readonly requestId: string | undefined;
 	/** The server states that it did not run the request. */
 	readonly notRun: boolean;
+	/** The server states that it does not hold the request's key, or is not the one that the request was for. */
+	readonly misdirected: boolean;
 	/** The body has a content encoding, which no server should use. */
 	readonly encoded: boolean;
 	readonly load: ServerLoad | undefined;
@@ -113,10 +115,11 @@
 			? [answerFields.retryAfter]
 			: []),
 	];
+	const misdirected = status === misdirectedStatus;
 	return {
 		requestId: text(requestFields.requestId),
-		notRun:
-			status === misdirectedStatus || text(answerFields.notRun) !== undefined,
+		notRun: misdirected || text(answerFields.notRun) !== undefined,
+		misdirected,
 		encoded: headers['content-encoding'] !== undefined,
 		load: parseLoad(text(answerFields.load) ?? ''),
 		leaving: leaving === true,
--- a/packages/platform/test/decoding.test.ts
+++ b/packages/platform/test/decoding.test.ts
@@ -208,6 +208,7 @@
 		{
 			requestId: 'q',
 			notRun: true,
+			misdirected: false,
 			encoded: false,
 			load: {running: 3, waiting: 1, slots: 3, slowness: 2.5},
 			leaving: false,
@@ -216,6 +217,7 @@
 		},
 	);
 	t.true(readAnswerMetadata(421, {}).notRun);
+	t.true(readAnswerMetadata(421, {}).misdirected);
 	t.false(readAnswerMetadata(503, {}).notRun);
 	t.true(readAnswerMetadata(200, {'content-encoding': 'gzip'}).encoded);
 	for (const text of ['', 'a,b,c', '1,2', '1,-2,3', '1,2,0']) {
