--- a/packages/core/src/gateway/key-plan.ts
+++ b/packages/core/src/gateway/key-plan.ts
@@ -57,12 +57,7 @@
 		: movesToNewServers(byOwner, servers, {keyCounts, evenShare});
 }
 
-/** The table after `move`; the moved keys get the next free fencing token. */
-export function applyMove(table: RangeTable, move: KeyMove): RangeTable {
-	return applyMoves(table, [move]);
-}
-
-/** The table after `moves`, none of which includes a key of another. Fencing tokens follow their order. */
+/** The table after `moves`, none of which includes a key of another. The moved keys get the next free fencing tokens, in the order of `moves`. */
 export function applyMoves(
 	{service, nextFence, ranges}: RangeTable,
 	moves: readonly KeyMove[],
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -265,7 +265,6 @@
 	type RangeTable,
 } from './gateway/key-range.js';
 export {
-	applyMove,
 	applyMoves,
 	planKeyMoves,
 	withNewFences,
--- a/packages/core/test/gateway/gateway.test.ts
+++ b/packages/core/test/gateway/gateway.test.ts
@@ -3,7 +3,7 @@
 import {
 	drawService,
 	maxKey,
-	applyMove,
+	applyMoves,
 	planKeyMoves,
 	rangeOf,
 	RouteTable,
@@ -39,7 +39,7 @@
 function planned(table: RangeTable, servers: readonly ListedServer[]) {
 	let next = table;
 	for (const move of planKeyMoves(table, servers)) {
-		next = applyMove(next, move);
+		next = applyMoves(next, [move]);
 	}
 
 	return next;
--- a/packages/core/test/gateway/key-load.test.ts
+++ b/packages/core/test/gateway/key-load.test.ts
@@ -3,7 +3,7 @@
 import {
 	isHeldBy,
 	KeyRecorder,
-	applyMove,
+	applyMoves,
 	planKeyMoves,
 	planLoadMoves,
 	SeededRandom,
@@ -27,7 +27,7 @@
 function evenTable(): RangeTable {
 	let table: RangeTable = {service: 's', nextFence: 1, ranges: []};
 	for (const move of planKeyMoves(table, servers)) {
-		table = applyMove(table, move);
+		table = applyMoves(table, [move]);
 	}
 
 	return table;
@@ -56,7 +56,7 @@
 	let next = table;
 	for (let round = 0; round < 10; round++) {
 		for (const move of planLoadMoves(next, servers, traffic)) {
-			next = applyMove(next, move);
+			next = applyMoves(next, [move]);
 		}
 	}
 
@@ -124,7 +124,7 @@
 				}
 
 				for (const move of moves) {
-					table = applyMove(table, move);
+					table = applyMoves(table, [move]);
 				}
 
 				t.true(Math.max(...loads(table, traffic)) <= before + 1e-9);
--- a/packages/core/test/gateway/large-plan.test.ts
+++ b/packages/core/test/gateway/large-plan.test.ts
@@ -1,7 +1,6 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {
-	applyMove,
 	applyMoves,
 	planKeyMoves,
 	planLoadMoves,
@@ -87,7 +86,7 @@
 			const moves = planKeyMoves(table, servers);
 			let expected = table;
 			for (const move of moves) {
-				expected = applyMove(expected, move);
+				expected = applyMoves(expected, [move]);
 			}
 
 			t.deepEqual(applyMoves(table, moves), expected);
--- a/packages/daemon/src/gateway/key-grants.ts
+++ b/packages/daemon/src/gateway/key-grants.ts
@@ -6,6 +6,8 @@
 import {
 	GrantLedger,
 	isHeldBy,
+	ownerKeyOf,
+	runKeyOf,
 	type Clock,
 	type KeyRange,
 	type ListedServer,
@@ -41,7 +43,7 @@
 };
 
 /** The leases of one run of a server, as far as this daemon knows. */
-type ServerRun = {
+type RunLeases = {
 	/** The newest entry of the run, which may have been removed since. */
 	listed: ListedServer | undefined;
 	ledger: GrantLedger;
@@ -53,8 +55,8 @@
 };
 
 export class KeyGrants {
-	/** By server name and start time. */
-	readonly #runs = new Map<string, ServerRun>();
+	/** By run of the server. */
+	readonly #runs = new Map<string, RunLeases>();
 
 	constructor(private readonly context: KeyGrantsContext) {}
 
@@ -77,8 +79,9 @@
 	/** Records that another daemon may have sent grants for `ranges` to their holders until now. */
 	assumeSent(ranges: readonly KeyRange[]): void {
 		const now = this.context.clock.now();
-		for (const {owner, ownerStartedAt, from, to, fence} of ranges) {
-			const run = this.#runOf(owner, ownerStartedAt);
+		for (const range of ranges) {
+			const {from, to, fence} = range;
+			const run = this.#leasesOf(ownerKeyOf(range));
 			const overAt = now + maxLeaseMs;
 			const grant = {from, to, fence, overAt, isTaken: false};
 			run.ledger = run.ledger.with(grant, now);
@@ -86,20 +89,20 @@
 	}
 
 	/** Whether this run of the server is known to be over. */
-	hasEnded({backendServer, startedAt}: ListedServer): boolean {
-		return this.#runOf(backendServer, startedAt).ended;
+	hasEnded(server: ListedServer): boolean {
+		return this.#leasesOf(runKeyOf(server)).ended;
 	}
 
 	/** Whether the holder's keys from `from` to `to` are free as soon as it has released them. */
 	isReleaseFinal(holder: KeyRange, from: number, to: number): boolean {
-		const {ledger} = this.#runOf(holder.owner, holder.ownerStartedAt);
+		const {ledger} = this.#leasesOf(ownerKeyOf(holder));
 		return ledger.isReleaseFinal(from, to, this.context.clock.now());
 	}
 
 	/** Renews the leases on a server's `ranges` if a renewal is due. */
 	renew(server: ListedServer, ranges: readonly KeyRange[]): void {
 		const now = this.context.clock.now();
-		const run = this.#runOf(server.backendServer, server.startedAt);
+		const run = this.#leasesOf(runKeyOf(server));
 		run.listed = server;
 		if (ranges.length > 0 && !run.ended && now - run.renewedAt >= renewMs) {
 			run.renewedAt = now;
@@ -111,7 +114,7 @@
 
 	/** Grants the range to `server`. `handover` is what its former holder handed over, if anything. */
 	grant(server: ListedServer, range: KeyRange, handover?: string): void {
-		const {inFlight} = this.#runOf(server.backendServer, server.startedAt);
+		const {inFlight} = this.#leasesOf(runKeyOf(server));
 		const grant = this.#sendGrant(server, range, handover);
 		inFlight.add(grant);
 		const forget = async () => {
@@ -133,7 +136,7 @@
 	): Promise<string | undefined> {
 		const {clock, lease, log, service} = this.context;
 		const {owner: backendServer, fence} = holder;
-		const run = this.#runOf(holder.owner, holder.ownerStartedAt);
+		const run = this.#leasesOf(ownerKeyOf(holder));
 		const beganAt = clock.now();
 		// A grant that is still in flight must not be accepted after the release.
 		await Promise.all(run.inFlight);
@@ -160,7 +163,7 @@
 		return released?.handover;
 	}
 
-	async #untilExpired(run: ServerRun, overAt: Millis): Promise<void> {
+	async #untilExpired(run: RunLeases, overAt: Millis): Promise<void> {
 		const {clock, lease} = this.context;
 		for (;;) {
 			const leftMs = overAt - clock.now();
@@ -182,8 +185,8 @@
 			return;
 		}
 
-		const {backendServer, startedAt} = server;
-		const run = this.#runOf(backendServer, startedAt);
+		const {backendServer} = server;
+		const run = this.#leasesOf(runKeyOf(server));
 		const now = clock.now();
 		const overAt = now + maxLeaseMs;
 		const sent: SentGrant = {from, to, fence, overAt, isTaken: false};
@@ -211,7 +214,7 @@
 		holder: KeyRange,
 		from: number,
 		to: number,
-		run: ServerRun,
+		run: RunLeases,
 	): Promise<{readonly handover: string | undefined} | undefined> {
 		const {clock, orders, listed, log, lease, service} = this.context;
 		const {owner: backendServer, fence} = holder;
@@ -251,9 +254,9 @@
 		}
 	}
 
-	#runOf(server: string, startedAt: number): ServerRun {
-		const id = `${server}\n${startedAt}`;
-		let run = this.#runs.get(id);
+	/** `runKey` as by `runKeyOf` or `ownerKeyOf`. */
+	#leasesOf(runKey: string): RunLeases {
+		let run = this.#runs.get(runKey);
 		if (!run) {
 			run = {
 				listed: undefined,
@@ -262,7 +265,7 @@
 				ended: false,
 				inFlight: new Set(),
 			};
-			this.#runs.set(id, run);
+			this.#runs.set(runKey, run);
 		}
 
 		return run;
