--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -290,6 +290,7 @@
 	type ServiceRates,
 } from './gateway/report-plan.js';
 export {planLoadMoves} from './gateway/load-plan.js';
+export {chooseStandbys, type RegisteredDaemon} from './gateway/standbys.js';
 export {LapseHold} from './gateway/lapse-hold.js';
 export {LeavingServers} from './gateway/leaving-servers.js';
 export {ServerHolds} from './gateway/server-holds.js';
--- a/packages/daemon/src/gateway/keepers-task.ts
+++ b/packages/daemon/src/gateway/keepers-task.ts
@@ -28,8 +28,6 @@
 const registerRetryMs: Millis = 1000;
 /** As often as daemons report changed traffic. */
 const readTrafficMs: Millis = 1000;
-/** Number of daemons that watch every beat, to take over from a keeper at once; the others list the leases now and then. */
-const standbyCount = 3;
 
 type KeptService = {readonly lease: KeeperLease; readonly keeper: KeyKeeper};
 
@@ -116,10 +114,8 @@
 
 	/** Whether this daemon watches every beat of the keepers. */
 	#isStandby(): boolean {
-		const {vm} = this.deployment;
-		const {daemonNames} = this.view.view.value;
-		const index = daemonNames.indexOf(vm);
-		return (index !== -1 && index < standbyCount) || this.#isKeeper();
+		const {standbys} = this.view.view.value;
+		return standbys.has(this.deployment.vm) || this.#isKeeper();
 	}
 
 	#isKeeper(): boolean {
--- a/packages/daemon/src/gateway/view-task.ts
+++ b/packages/daemon/src/gateway/view-task.ts
@@ -1,5 +1,6 @@
 /** The daemon's view of the platform's store: routes, backend servers, domains out of service and range tables. */
 import {
+	chooseStandbys,
 	fold,
 	LapseHold,
 	RouteTable,
@@ -44,8 +45,8 @@
 	readonly rangeTables: ReadonlyMap<string, RangeTable>;
 	/** Number of daemons that share the backend servers; at least one. */
 	readonly daemons: number;
-	/** The VMs of the registered daemons, sorted. */
-	readonly daemonNames: readonly string[];
+	/** The VMs of the daemons that watch every beat of the keepers. */
+	readonly standbys: ReadonlySet<string>;
 };
 
 /**
@@ -70,7 +71,7 @@
 	inService: new Map(),
 	rangeTables: new Map(),
 	daemons: 1,
-	daemonNames: [],
+	standbys: new Set(),
 };
 
 @singleton()
@@ -136,12 +137,15 @@
 			this.#update({rangeTables: new Map([...known, ...tables])});
 		});
 		daemons.objects.subscribe((objects) => {
-			const daemonNames = this.#parseAll(daemonsKind, objects, ({name, spec}) =>
-				parseDaemon(spec).map(() => name),
-			).sort();
+			const daemons = this.#parseAll(daemonsKind, objects, ({name, spec}) =>
+				parseDaemon(spec).map(({failureDomain}) => ({vm: name, failureDomain})),
+			);
 			// An entry that can't be read still stands for a daemon that needs its share.
 			const count = objects?.size ?? 0;
-			this.#update({daemons: Math.max(1, count), daemonNames});
+			this.#update({
+				daemons: Math.max(1, count),
+				standbys: chooseStandbys(daemons),
+			});
 		});
 	}
 
