--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -291,6 +291,7 @@
 } from './gateway/report-plan.js';
 export {planLoadMoves} from './gateway/load-plan.js';
 export {chooseStandbys, type RegisteredDaemon} from './gateway/standbys.js';
+export {RetryAllowance, type RetryBounds} from './gateway/retry-allowance.js';
 export {LapseHold} from './gateway/lapse-hold.js';
 export {LeavingServers} from './gateway/leaving-servers.js';
 export {ServerHolds} from './gateway/server-holds.js';
--- a/packages/daemon/src/gateway/gateway-entry-task.ts
+++ b/packages/daemon/src/gateway/gateway-entry-task.ts
@@ -69,13 +69,15 @@
 		@inject(Log) private readonly log: Log,
 	) {
 		super();
-		const {retryShare, retrySlack} = deployment.bounds;
-		const burstPerDaemon = (daemons: number) =>
-			Math.max(1, Math.floor((retrySlack * retryBudgetShare) / daemons));
-		const budgets = new ServiceBudgets({
+		const {retryShare, retrySlack, retryWindowMs} = deployment.bounds;
+		const slackOf = (daemons: number) =>
+			(retrySlack * retryBudgetShare) / daemons;
+		const retryBounds = {
 			share: retryShare * retryBudgetShare,
-			burst: burstPerDaemon(1),
-		});
+			slack: slackOf(1),
+			windowMs: retryWindowMs,
+		};
+		const budgets = new ServiceBudgets(retryBounds, clock);
 		const connections = new ServerConnections(connectionBounds, clock);
 		this.#context = {
 			view,
@@ -108,7 +110,7 @@
 			res.end();
 		});
 		view.view.subscribe(({routes, servers = [], daemons}) => {
-			budgets.setBurst(burstPerDaemon(daemons));
+			budgets.setSlack(slackOf(daemons));
 			connections.retainOnly(new Set(servers.map(({address}) => address)));
 			if (routes) {
 				const {idleMs, headerMs} = routes.config.limits;
--- a/packages/daemon/src/requests/budget.ts
+++ b/packages/daemon/src/requests/budget.ts
@@ -13,9 +13,6 @@
 	}
 
 	/** Limits the budget to `burst` retries from now on. */
-	setBurst(burst: number): void {
-		this.#budget = this.#budget.withBurst(burst);
-	}
 
 	recordSuccess(): void {
 		this.#budget = this.#budget.afterSuccess();
--- a/packages/daemon/src/requests/service-budgets.ts
+++ b/packages/daemon/src/requests/service-budgets.ts
@@ -2,33 +2,56 @@
  * A retry budget for each service. Its retries are a share of its own successes, so
  * that a failing service cannot use up retries earned by the others.
  */
-import {type RetryBudgetOptions} from '@kingcuproute/core';
-import {MutableRetryBudget} from './budget.js';
+import {RetryAllowance, type Clock, type RetryBounds} from '@kingcuproute/core';
+
+/** The retry budget of one service. */
+export type ServiceBudget = {
+	readonly hasRetry: boolean;
+	recordSuccess(): void;
+	recordRetry(): void;
+};
 
 export class ServiceBudgets {
-	readonly #budgets = new Map<string, MutableRetryBudget>();
-	#burst: number;
+	readonly #budgets = new Map<string, ServiceBudget>();
+	#slack: number;
 
-	constructor(private readonly options: RetryBudgetOptions) {
-		this.#burst = options.burst;
+	constructor(
+		private readonly bounds: RetryBounds,
+		private readonly clock: Clock,
+	) {
+		this.#slack = bounds.slack;
 	}
 
 	/** The service's budget. */
-	of(service: string): MutableRetryBudget {
+	of(service: string): ServiceBudget {
 		let budget = this.#budgets.get(service);
 		if (!budget) {
-			budget = new MutableRetryBudget({...this.options, burst: this.#burst});
+			budget = this.#create();
 			this.#budgets.set(service, budget);
 		}
 
 		return budget;
 	}
 
-	/** Limits each budget, present and future, to `burst` retries from now on. */
-	setBurst(burst: number): void {
-		this.#burst = burst;
-		for (const budget of this.#budgets.values()) {
-			budget.setBurst(burst);
-		}
+	/** Sets how many retries each budget, present and future, allows in a window without any success. */
+	setSlack(slack: number): void {
+		this.#slack = slack;
+	}
+
+	#create(): ServiceBudget {
+		const allowance = new RetryAllowance(this.bounds);
+		const {clock} = this;
+		const hasRetry = () => allowance.hasRetry(this.#slack, clock.now());
+		return {
+			get hasRetry() {
+				return hasRetry();
+			},
+			recordSuccess() {
+				allowance.recordSuccess(clock.now());
+			},
+			recordRetry() {
+				allowance.recordRetry(clock.now());
+			},
+		};
 	}
 }
--- a/packages/daemon/test/service-budgets.test.ts
+++ b/packages/daemon/test/service-budgets.test.ts
@@ -1,8 +1,11 @@
 import test from 'ava';
 import {ServiceBudgets} from '../src/requests/service-budgets.js';
+import {ManualClock} from './timers.js';
+
+const bounds = {share: 0.5, slack: 2, windowMs: 10_000};
 
 test('no service can use retries earned by the successes of another one', (t) => {
-	const budgets = new ServiceBudgets({share: 0.5, burst: 2});
+	const budgets = new ServiceBudgets(bounds, new ManualClock());
 	const failing = budgets.of('failing');
 	failing.recordRetry();
 	failing.recordRetry();
@@ -14,13 +17,23 @@
 	t.true(budgets.of('sound').hasRetry);
 });
 
-test('a lower burst applies to the budgets of all services, new ones included', (t) => {
-	const budgets = new ServiceBudgets({share: 0.5, burst: 4});
+test('a lower slack applies to the budgets of all services, new ones included', (t) => {
+	const budgets = new ServiceBudgets({...bounds, slack: 4}, new ManualClock());
 	const known = budgets.of('known');
-	budgets.setBurst(1);
+	budgets.setSlack(1);
 	for (const budget of [known, budgets.of('new')]) {
 		t.true(budget.hasRetry);
 		budget.recordRetry();
 		t.false(budget.hasRetry);
 	}
 });
+
+test('retries are allowed again once the window has passed', async (t) => {
+	const clock = new ManualClock();
+	const budget = new ServiceBudgets({...bounds, slack: 1}, clock).of('s');
+	budget.recordRetry();
+	await clock.advance(8000);
+	t.false(budget.hasRetry);
+	await clock.advance(3000);
+	t.true(budget.hasRetry);
+});
