--- a/packages/daemon/src/requests/budget.ts
+++ b/packages/daemon/src/requests/budget.ts
@@ -12,8 +12,6 @@
 		return this.#budget.hasRetry;
 	}
 
-	/** Limits the budget to `burst` retries from now on. */
-
 	recordSuccess(): void {
 		this.#budget = this.#budget.afterSuccess();
 	}
