--- a/packages/fakes/test/placement.test.ts
+++ b/packages/fakes/test/placement.test.ts
@@ -159,10 +159,13 @@
 	const stop = startBookings(fleet);
 	const server = 'desk-fd-a';
 	const owned = await ownedCount(fleet, server);
-	const outcomes = await Promise.all([
-		change(fleet, 'backend-server', server, {out: true}),
-		change(fleet, 'backend-server', server, {out: true}),
-	]);
+	// Both operators have read the server before either writes.
+	const {objects} = fleet.deployment;
+	const read = await objects.get('backend-server', server);
+	const {version, value} = read.unsafeCoerce();
+	const takeOut = async () =>
+		objects.update('backend-server', server, version, {...value!, out: true});
+	const outcomes = await Promise.all([takeOut(), takeOut()]);
 	t.is(outcomes.filter((outcome) => outcome.isRight()).length, 1);
 	const drainedMs = await until(
 		t,
