--- a/packages/core/src/gateway/key-plan.ts
+++ b/packages/core/src/gateway/key-plan.ts
@@ -10,6 +10,7 @@
 	type KeyRange,
 	type RangeTable,
 } from './key-range.js';
+import {partitionPoint} from './partition-point.js';
 import {runKeyOf} from './server-run.js';
 
 /** A range of keys to move to `target`; `holder` is undefined if no server ever held them. */
@@ -177,18 +178,11 @@
 	counts: ReadonlyMap<string, number>,
 ): void {
 	const count = counts.get(server.backendServer)!;
-	let low = 0;
-	let high = queue.length;
-	while (low < high) {
-		const middle = Math.floor((low + high) / 2);
-		if (counts.get(queue[middle].backendServer)! >= count) {
-			low = middle + 1;
-		} else {
-			high = middle;
-		}
-	}
-
-	queue.splice(low, 0, server);
+	const index = partitionPoint(
+		queue,
+		({backendServer}) => counts.get(backendServer)! >= count,
+	);
+	queue.splice(index, 0, server);
 }
 
 /** Moves keys of the servers that have most to each server that has none, up to an even share. */
--- a/packages/core/src/gateway/key-range.ts
+++ b/packages/core/src/gateway/key-range.ts
@@ -1,5 +1,6 @@
 /** Which backend server owns which keys of a service divided by key, and under which fencing token. */
 import {type ListedServer} from './listed-server.js';
+import {partitionPoint} from './partition-point.js';
 import {runKeyOf} from './server-run.js';
 
 /** Keys are whole numbers from 0 to this. */
@@ -61,19 +62,6 @@
 	{ranges}: RangeTable,
 	key: number,
 ): KeyRange | undefined {
-	let low = 0;
-	let high = ranges.length - 1;
-	while (low <= high) {
-		const middle = Math.floor((low + high) / 2);
-		const range = ranges[middle];
-		if (key < range.from) {
-			high = middle - 1;
-		} else if (key > range.to) {
-			low = middle + 1;
-		} else {
-			return range;
-		}
-	}
-
-	return undefined;
+	const range = ranges.at(partitionPoint(ranges, ({to}) => to < key));
+	return range && range.from <= key ? range : undefined;
 }
--- a/packages/core/src/gateway/load-plan.ts
+++ b/packages/core/src/gateway/load-plan.ts
@@ -11,6 +11,7 @@
 import {rangesByOwner, type KeyRange, type RangeTable} from './key-range.js';
 import {withoutKeys, type KeyMove} from './key-plan.js';
 import {type KeyTraffic} from './key-traffic.js';
+import {partitionPoint} from './partition-point.js';
 import {runKeyOf} from './server-run.js';
 
 /** A server whose slots are busy less than this share of the time gives no keys away: hardly any request waits there. */
@@ -149,8 +150,8 @@
 
 /** Inserts a server into a list that is ordered by load, lowest first. */
 function insertByLoad(byLoad: LoadedServer[], server: LoadedServer): void {
-	const index = byLoad.findIndex(({load}) => load > server.load);
-	byLoad.splice(index === -1 ? byLoad.length : index, 0, server);
+	const index = partitionPoint(byLoad, ({load}) => load <= server.load);
+	byLoad.splice(index, 0, server);
 }
 
 /** Keys in ascending order, each with its requests a second. */
@@ -225,23 +226,10 @@
 }
 
 function keysIn({from, to}: KeyRange, keys: RatedKeys): RatedKeys {
-	return keys.slice(firstAtLeast(keys, from), firstAtLeast(keys, to + 1));
-}
-
-/** The index of the first key that is not below `least`. */
-function firstAtLeast(keys: RatedKeys, least: number): number {
-	let low = 0;
-	let high = keys.length;
-	while (low < high) {
-		const middle = Math.floor((low + high) / 2);
-		if (keys[middle][0] < least) {
-			low = middle + 1;
-		} else {
-			high = middle;
-		}
-	}
-
-	return low;
+	return keys.slice(
+		partitionPoint(keys, ([key]) => key < from),
+		partitionPoint(keys, ([key]) => key <= to),
+	);
 }
 
 function totalRate(keys: RatedKeys): number {
--- a/packages/core/src/gateway/retry-allowance.ts
+++ b/packages/core/src/gateway/retry-allowance.ts
@@ -10,8 +10,6 @@
 export type RetryBounds = {
 	/** Retries allowed for each success. */
 	readonly share: number;
-	/** Retries allowed in a window without any success. */
-	readonly slack: number;
 	readonly windowMs: Millis;
 };
 
@@ -22,13 +20,13 @@
 	readonly #successes: PartCounts;
 	readonly #retries: PartCounts;
 
-	constructor(private readonly bounds: Omit<RetryBounds, 'slack'>) {
+	constructor(private readonly bounds: RetryBounds) {
 		const partMs = bounds.windowMs / windowParts;
 		this.#successes = new PartCounts(partMs);
 		this.#retries = new PartCounts(partMs);
 	}
 
-	/** Whether one more retry is allowed now. */
+	/** Whether one more retry is allowed now. `slack` is how many are in a window without any success. */
 	hasRetry(slack: number, now: Millis): boolean {
 		const successes = Math.max(
 			this.#successes.inParts(0, windowParts, now),
@@ -56,11 +54,10 @@
 
 	add(now: Millis): void {
 		const part = Math.floor(now / this.partMs);
-		this.#counts.set(part, (this.#counts.get(part) ?? 0) + 1);
-		for (const other of this.#counts.keys()) {
-			if (other <= part - 2 * windowParts) {
-				this.#counts.delete(other);
-			}
+		const count = this.#counts.get(part);
+		this.#counts.set(part, (count ?? 0) + 1);
+		if (count === undefined) {
+			this.#forget(part - 2 * windowParts);
 		}
 	}
 
@@ -74,4 +71,13 @@
 
 		return count;
 	}
+
+	/** Drops the counts of the parts up to `last`. */
+	#forget(last: number): void {
+		for (const part of this.#counts.keys()) {
+			if (part <= last) {
+				this.#counts.delete(part);
+			}
+		}
+	}
 }
--- a/packages/core/src/gateway/standbys.ts
+++ b/packages/core/src/gateway/standbys.ts
@@ -18,7 +18,9 @@
 ): ReadonlySet<string> {
 	const byDomain = new Map<string, string[]>();
 	for (const {vm, failureDomain} of daemons) {
-		byDomain.set(failureDomain, [...(byDomain.get(failureDomain) ?? []), vm]);
+		const vms = byDomain.get(failureDomain) ?? [];
+		vms.push(vm);
+		byDomain.set(failureDomain, vms);
 	}
 
 	const ranked = [...byDomain].flatMap(([failureDomain, vms]) =>
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -289,6 +289,7 @@
 	type SentReport,
 	type ServiceRates,
 } from './gateway/report-plan.js';
+export {partitionPoint} from './gateway/partition-point.js';
 export {planLoadMoves} from './gateway/load-plan.js';
 export {chooseStandbys, type RegisteredDaemon} from './gateway/standbys.js';
 export {RetryAllowance, type RetryBounds} from './gateway/retry-allowance.js';
--- a/packages/core/src/requests/buffer-budget.ts
+++ b/packages/core/src/requests/buffer-budget.ts
@@ -10,11 +10,6 @@
 	/** `maxLen` is in bytes. */
 	constructor(private readonly maxLen: number) {}
 
-	/** Bytes reserved now. */
-	get usedLen(): number {
-		return this.#usedLen;
-	}
-
 	/** Reserves `len` bytes; false if there is no room for them. */
 	tryReserve(len: number): boolean {
 		if (this.#usedLen + len > this.maxLen) {
--- a/packages/daemon/src/gateway/gateway-entry-task.ts
+++ b/packages/daemon/src/gateway/gateway-entry-task.ts
@@ -12,11 +12,15 @@
 	type Random,
 	type StopPlan,
 } from '@kingcuproute/core';
-import {type Address, type Deployment} from '@kingcuproute/platform';
+import {
+	fallbackLimits,
+	type Address,
+	type Deployment,
+} from '@kingcuproute/platform';
 import {inject, singleton} from 'tsyringe';
 import {Log} from '../log/log.js';
 import {type Turn} from '../requests/caller-connection.js';
-import {entryServer} from '../requests/entry-server.js';
+import {entryServer, type EntryBounds} from '../requests/entry-server.js';
 import {ServerConnections} from '../requests/server-connections.js';
 import {ServiceBudgets} from '../requests/service-budgets.js';
 import {Task} from '../task/task.js';
@@ -30,12 +34,12 @@
 import {ViewTask} from './view-task.js';
 
 /** Limits for callers; `headerMs` and `callerIdleMs` hold until the routing configuration sets them. */
-const entryBounds = {
-	maxHeaderLen: 65_536,
-	headerMs: 10_000,
+const entryBounds: EntryBounds = {
+	maxHeaderLen: fallbackLimits.headerLen,
+	headerMs: fallbackLimits.headerMs,
 	requestMs: 60_000,
-	callerIdleMs: 30_000,
-} as const;
+	callerIdleMs: fallbackLimits.idleMs,
+};
 const connectionBounds = {
 	maxHeaderLen: 65_536,
 	maxConnections: 32,
--- a/packages/daemon/src/gateway/gateway-exchange.ts
+++ b/packages/daemon/src/gateway/gateway-exchange.ts
@@ -180,9 +180,9 @@
 	): Promise<RequestEnd | undefined> {
 		const {picks, clock, budgets, traffic, view} = this.context;
 		const {service, key} = request;
-		const refusal = this.#refusalBeforeSending(request);
-		if (refusal) {
-			return refusal;
+		const early = this.#refusalBeforeSending(request);
+		if (early) {
+			return early;
 		}
 
 		const budget = budgets.of(service.service);
--- a/packages/daemon/src/gateway/key-planner.ts
+++ b/packages/daemon/src/gateway/key-planner.ts
@@ -6,6 +6,7 @@
 import {
 	ownerKeyOf,
 	applyMoves,
+	partitionPoint,
 	planKeyMoves,
 	planLoadMoves,
 	runKeyOf,
@@ -103,17 +104,7 @@
 	const sorted = pending.toSorted((a, b) => a.from - b.from);
 	return ({from, to}) => {
 		// The pending moves do not overlap each other, so they are ordered by their ends, too.
-		let low = 0;
-		let high = sorted.length;
-		while (low < high) {
-			const middle = Math.floor((low + high) / 2);
-			if (sorted[middle].to < from) {
-				low = middle + 1;
-			} else {
-				high = middle;
-			}
-		}
-
-		return low === sorted.length || sorted[low].from > to;
+		const next = sorted.at(partitionPoint(sorted, (other) => other.to < from));
+		return !next || next.from > to;
 	};
 }
--- a/packages/daemon/src/requests/quarantine/crash-evidence.ts
+++ b/packages/daemon/src/requests/quarantine/crash-evidence.ts
@@ -10,7 +10,7 @@
 const tryMs: Millis = 100;
 const tries = 8;
 const timeoutMs: Millis = 300;
-/** Time limit for the complete answer, as undici's own timers may be half a second late. */
+/** For the complete answer, as undici's own timers may be half a second late. */
 const answerTimeoutMs: Millis = 1000;
 /** Generous, as a health answer is short. */
 const maxAnswerLen = 16_384;
--- a/packages/daemon/src/requests/service-budgets.ts
+++ b/packages/daemon/src/requests/service-budgets.ts
@@ -16,7 +16,7 @@
 	#slack: number;
 
 	constructor(
-		private readonly bounds: RetryBounds,
+		private readonly bounds: RetryBounds & {readonly slack: number},
 		private readonly clock: Clock,
 	) {
 		this.#slack = bounds.slack;
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -66,6 +66,7 @@
 	configKind,
 	configName,
 	evacuationsKind,
+	fallbackLimits,
 	parseRoutingConfig,
 	type RoutingReading,
 } from './routing-document.js';
--- a/packages/platform/src/routing-document.ts
+++ b/packages/platform/src/routing-document.ts
@@ -36,8 +36,8 @@
 const lastPriority = Number.MAX_SAFE_INTEGER;
 /** Requests a second for a cold server whose service states an unreadable rate. */
 const cautiousColdRate = 1;
-/** Limits on callers where the configured ones can't be read: wide enough for any proper request. */
-const fallbackLimits: CallerLimits = {
+/** Limits on callers until the configuration is read, and where its own can't be read: wide enough for any proper request. */
+export const fallbackLimits: CallerLimits = {
 	headerLen: 65_536,
 	bodyLen: 67_108_864,
 	headerMs: 10_000,
@@ -132,7 +132,7 @@
 	path: string,
 	row: Row,
 ): RouteRule | undefined {
-	const field = fieldReader(reader, path, row);
+	const field = readerOfRow(reader, path, row);
 	const ruleHost = field('host', host, '');
 	const prefix = field('pathPrefix', pathPrefix, '');
 	if (ruleHost === '' || prefix === '') {
@@ -191,7 +191,7 @@
 	path: string,
 	row: Row,
 ): RoutedService | undefined {
-	const field = fieldReader(reader, path, row);
+	const field = readerOfRow(reader, path, row);
 	const name = field('name', serviceName, '');
 	if (name === '') {
 		return undefined;
@@ -210,7 +210,7 @@
 
 function readLimits(reader: FieldReader, limits: unknown): CallerLimits {
 	const row = reader.read('limits', z.looseObject({}), limits, {});
-	const field = fieldReader(reader, 'limits', row);
+	const field = readerOfRow(reader, 'limits', row);
 	const {headerLen, bodyLen, headerMs, idleMs} = fallbackLimits;
 	return {
 		headerLen: field('maxHeaderBytes', count, headerLen),
@@ -220,7 +220,7 @@
 	};
 }
 
-function fieldReader(reader: FieldReader, path: string, row: Row) {
+function readerOfRow(reader: FieldReader, path: string, row: Row) {
 	return <T>(name: string, schema: z.ZodType<T>, fallback: T): T =>
 		reader.read(`${path}.${name}`, schema, row[name], fallback);
 }
