Log when backend servers become cold and why requests are refused for it

The log could not tell whether a daemon that sent requests to a cold server knew it: no line said when an entry became cold or warm, how old the entries were, which belief a request was sent with, or that a request was refused because a cold server had got its share (that was called overloaded).

server-cold and server-warm give the source and the age, request-sent the coldMs it went by, request-refused the reason cold; a metric counts the changes. No decision differs.

--- a/packages/daemon/src/gateway/exchange-context.ts
+++ b/packages/daemon/src/gateway/exchange-context.ts
@@ -12,6 +12,7 @@
 import {type ServerNotices} from './server-notices.js';
 import {type ServerPicks} from './server-picks.js';
 import {type TrafficTask} from './traffic-task.js';
+import {type WarmthChecks} from './warmth-checks.js';
 import {type ViewTask} from './view-task.js';
 
 export type ExchangeContext = {
@@ -24,6 +25,7 @@
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly notices: ServerNotices;
+	readonly warmth: WarmthChecks;
 	readonly metrics: GatewayMetrics;
 	readonly log: Log;
 	/** Undefined unless the daemon is stopping. */
--- a/packages/daemon/src/gateway/gateway-attempt.ts
+++ b/packages/daemon/src/gateway/gateway-attempt.ts
@@ -89,6 +89,7 @@
 			version,
 			key,
 			fence: picks.fence(service.service, key),
+			coldMs: server.coldMs,
 			load: Number(picks.loads.load(server, clock.now()).toFixed(2)),
 			leftMs: Math.round(leftMs),
 		});
--- a/packages/daemon/src/gateway/gateway-entry-task.ts
+++ b/packages/daemon/src/gateway/gateway-entry-task.ts
@@ -32,6 +32,7 @@
 import {ServerPicks} from './server-picks.js';
 import {TrafficTask} from './traffic-task.js';
 import {ViewTask} from './view-task.js';
+import {WarmthChecks} from './warmth-checks.js';
 
 /** Limits for callers; `headerMs` and `callerIdleMs` hold until the routing configuration sets them. */
 const entryBounds: EntryBounds = {
@@ -66,6 +67,7 @@
 		@inject(ViewTask) view: ViewTask,
 		@inject(ServerPicks) picks: ServerPicks,
 		@inject(ServerNotices) notices: ServerNotices,
+		@inject(WarmthChecks) warmth: WarmthChecks,
 		@inject(TrafficTask) traffic: TrafficTask,
 		@inject('Clock') private readonly clock: Clock,
 		@inject('Random') random: Random,
@@ -87,6 +89,7 @@
 			view,
 			picks,
 			notices,
+			warmth,
 			traffic,
 			connections,
 			budgets,
--- a/packages/daemon/src/gateway/gateway-metrics.ts
+++ b/packages/daemon/src/gateway/gateway-metrics.ts
@@ -40,6 +40,13 @@
 		registers: [this.#registry],
 	});
 
+	readonly #warmthChanges = new Counter({
+		name: 'kingcuproute_gateway_warmth_changes_total',
+		help: 'Backend servers that became cold, or warm again, as far as this daemon knows',
+		labelNames: ['warmth'] as const,
+		registers: [this.#registry],
+	});
+
 	readonly #storeCalls = new Counter({
 		name: 'kingcuproute_gateway_store_calls_total',
 		help: 'Calls to the store, by kind of object and call; a list of several pages counts once',
@@ -78,6 +85,10 @@
 		this.#storeCalls.inc({kind, call});
 	}
 
+	warmthChanged(warmth: 'cold' | 'warm'): void {
+		this.#warmthChanges.inc({warmth});
+	}
+
 	serverNotice(notice: 'leaving' | 'hold' | 'malformed'): void {
 		this.#notices.inc({notice});
 	}
--- a/packages/daemon/src/gateway/kind-follower.ts
+++ b/packages/daemon/src/gateway/kind-follower.ts
@@ -57,6 +57,7 @@
 	#endGathering: (() => void) | undefined;
 	#hadChanges = false;
 	#lastFailureAt: Millis = -Infinity;
+	#lastSuccessAt: Millis = -Infinity;
 	#revision: number | undefined;
 	#isUp: boolean | undefined;
 	#stopped = false;
@@ -73,6 +74,11 @@
 		return this.#lastFailureAt;
 	}
 
+	/** When a call was last answered; -Infinity if none was. */
+	get lastSuccessAt(): Millis {
+		return this.#lastSuccessAt;
+	}
+
 	start(): void {
 		void this.#run();
 	}
@@ -253,8 +259,11 @@
 	}
 
 	#recordOutcome(error: string | undefined): void {
-		if (error !== undefined) {
-			this.#lastFailureAt = this.context.clock.now();
+		const now = this.context.clock.now();
+		if (error === undefined) {
+			this.#lastSuccessAt = now;
+		} else {
+			this.#lastFailureAt = now;
 		}
 
 		const isUp = error === undefined;
--- a/packages/daemon/src/gateway/request-end.ts
+++ b/packages/daemon/src/gateway/request-end.ts
@@ -13,6 +13,8 @@
 	| 'no-server'
 	| 'no-owner'
 	| 'overloaded'
+	/** The only servers that may have the request are cold, and have got what they can take. */
+	| 'cold'
 	/** Every server that may have the request wants none for a while. */
 	| 'held'
 	| 'declined'
@@ -29,7 +31,7 @@
 	readonly reason: Reason;
 	readonly notRun: boolean;
 	readonly retryAfterMs?: Millis;
-	/** For the log: the state of the least loaded server, if all were full. */
+	/** For the log: the state of the least loaded server, if all were full or cold. */
 	readonly full?: Readonly<Record<string, string | number>>;
 };
 
--- a/packages/daemon/src/gateway/server-picks.ts
+++ b/packages/daemon/src/gateway/server-picks.ts
@@ -131,21 +131,27 @@
 		const candidates = warm.length > 0 ? warm : servers;
 		const isRetry = !service.keyed && tried.length > 0;
 		const server = this.loads.choose(candidates, now, isRetry);
+		if (!server) {
+			return Left(this.#refusal('overloaded', candidates));
+		}
+
 		const isAdmitted =
-			server &&
-			(server.coldMs === 0 ||
-				this.loads.takeColdToken(server.backendServer, rate, now));
-		return isAdmitted ? Right(server) : Left(this.#overloaded(candidates));
+			server.coldMs === 0 ||
+			this.loads.takeColdToken(server.backendServer, rate, now);
+		return isAdmitted ? Right(server) : Left(this.#refusal('cold', candidates));
 	}
 
-	/** The refusal of a request for which no candidate has room; names the least loaded one. */
-	#overloaded(candidates: readonly ListedServer[]): RequestEnd {
+	/** The refusal of a request that no candidate can take now; names the least loaded one. */
+	#refusal(
+		reason: 'overloaded' | 'cold',
+		candidates: readonly ListedServer[],
+	): RequestEnd {
 		const now = this.clock.now();
 		const loads = candidates.map((server) => this.loads.load(server, now));
 		const load = Math.min(...loads);
 		const {backendServer, coldMs} = candidates[loads.indexOf(load)];
 		return {
-			reason: 'overloaded',
+			reason,
 			notRun: true,
 			retryAfterMs: overloadedRetryMs,
 			full: {
--- a/packages/daemon/src/gateway/view-task.ts
+++ b/packages/daemon/src/gateway/view-task.ts
@@ -154,6 +154,11 @@
 		return this.#servers.lastFailureAt;
 	}
 
+	/** When a call for the entries of backend servers was last answered; -Infinity if none was. */
+	get serversReadAt(): Millis {
+		return this.#servers.lastSuccessAt;
+	}
+
 	/** To be called when a key has no owner in the range tables, or its owner did not answer a request or does not hold it. */
 	suspectRangeTables(): void {
 		this.rangeTableObjects.hurry();
