--- /dev/null
+++ b/packages/fakes/test/gateway-cold.test.ts
@@ -0,0 +1,141 @@
+import test from 'ava';
+import {createSite, sendAnswer, type Site} from './gateway-site.js';
+import {until} from './requests-fixture.js';
+
+/** Requests that a cold server may get in one second: 1.5 times `coldPerS` of the site's configuration, and 5. */
+const maxColdRequests = 1.5 * 2.8 + 5;
+const key = {'x-kingcuproute-shard-key': '7'};
+
+/** A server whose answers to health checks say whether it is cold; its entry says that it is warm. */
+type WarmingServer = {
+	isCold: boolean;
+	answersChecks: boolean;
+	requests: number;
+	checks: number;
+};
+
+async function addWarmingServer(
+	site: Site,
+	name: string,
+	service: string,
+): Promise<WarmingServer> {
+	const server: WarmingServer = {
+		isCold: false,
+		answersChecks: true,
+		requests: 0,
+		checks: 0,
+	};
+	await site.addServer(name, service, (req, res, body) => {
+		if (req.url !== '/health') {
+			server.requests++;
+			sendAnswer(req, res, body);
+			return;
+		}
+
+		server.checks++;
+		if (server.answersChecks) {
+			res.writeHead(200, {
+				'x-kingcuproute-instance-id': name,
+				'x-kingcuproute-cold-ms': server.isCold ? '3000' : '0',
+			});
+			res.end();
+		}
+	});
+	return server;
+}
+
+/** Sends `count` requests in quick succession; resolves with the number answered with 200. */
+async function sendMany(
+	count: number,
+	send: () => Promise<number>,
+): Promise<number> {
+	const statuses: number[] = [];
+	while (statuses.length < count) {
+		statuses.push(...(await Promise.all([send(), send(), send()])));
+	}
+
+	return statuses.filter((status) => status === 200).length;
+}
+
+test('a daemon cut off from the store sends no flood to a server that has become cold meanwhile', async (t) => {
+	const site = createSite(t);
+	const cold = await addWarmingServer(site, 'i-1', 'plain');
+	const warm = await addWarmingServer(site, 'i-2', 'plain');
+	await site.start();
+	t.is(await site.statusOf('/read/x'), 200);
+	site.store.failing = 503;
+	await site.line('event=store-lost');
+	cold.isCold = true;
+	cold.requests = 0;
+	const served = await sendMany(60, async () => site.statusOf('/read/x'));
+	t.is(served, 60);
+	t.true(cold.requests <= maxColdRequests, `${cold.requests} requests`);
+	t.true(warm.requests >= 60 - maxColdRequests);
+});
+
+test('a daemon cut off from the store sends the cold holder of a key no more than it can take', async (t) => {
+	const site = createSite(t);
+	const holder = await addWarmingServer(site, 'k-1', 'keyed');
+	await site.start();
+	await until(async () => (await site.statusOf('/clock/', key)) === 200);
+	site.store.failing = 503;
+	await site.line('event=store-lost');
+	holder.isCold = true;
+	holder.requests = 0;
+	await sendMany(60, async () => site.statusOf('/clock/', key));
+	t.true(holder.requests <= maxColdRequests, `${holder.requests} requests`);
+});
+
+test('servers of a failure domain that is back in service get no flood though their entries do not say yet that they are cold', async (t) => {
+	const site = createSite(t);
+	const cold = await addWarmingServer(site, 'i-1', 'plain');
+	await site.start();
+	t.is(await site.statusOf('/read/x'), 200);
+	site.store.put('evacuations', 'a', {});
+	await until(async () => (await site.statusOf('/read/x')) === 503);
+	cold.isCold = true;
+	cold.requests = 0;
+	site.store.remove('evacuations', 'a');
+	await until(async () => {
+		const lines = site.log().filter((line) => line.includes('=domains-out'));
+		return lines.at(-1)!.endsWith('failureDomains=""');
+	});
+	await sendMany(60, async () => site.statusOf('/read/x'));
+	t.true(cold.requests <= maxColdRequests, `${cold.requests} requests`);
+});
+
+test('a daemon cut off from the store serves every request at warm servers, with few checks for each', async (t) => {
+	const site = createSite(t);
+	const servers = [
+		await addWarmingServer(site, 'i-1', 'plain'),
+		await addWarmingServer(site, 'i-2', 'plain'),
+	];
+	await site.start();
+	t.is(await site.statusOf('/read/x'), 200);
+	t.is(servers[0].checks + servers[1].checks, 0, 'no checks while in touch');
+	site.store.failing = 503;
+	await site.line('event=store-lost');
+	const served = await sendMany(90, async () => site.statusOf('/read/x'));
+	t.is(served, 90);
+	const checks = servers[0].checks + servers[1].checks;
+	t.true(checks <= 60, `${checks} checks`);
+});
+
+test('a server that answers no checks gets what a cold server can take while the store is away, and all once it is back', async (t) => {
+	const site = createSite(t);
+	const server = await addWarmingServer(site, 'i-1', 'plain');
+	server.answersChecks = false;
+	await site.start();
+	site.store.failing = 503;
+	await site.line('event=store-lost');
+	server.requests = 0;
+	await until(async () => (await site.statusOf('/read/x')) === 200);
+	t.true(server.requests > 0);
+	site.store.failing = undefined;
+	await until(async () => {
+		const sent = 10;
+		const served = await sendMany(sent, async () => site.statusOf('/read/x'));
+		return served >= sent;
+	});
+	t.pass();
+});
