Ask backend servers whether they are cold where their entries do not show it

Cause: each daemon went by the last entry it had read. Daemons cut off from the store did not hear of an evacuation, nor that the servers of the failure domain became cold 1.5 s before its end (server-cold at 18.51 s on the daemons in touch, never on the other three). As the others left these servers, they were the idlest, so that the three sent them all they had.

Now an entry counts only while the entries are current: no call to the store, of any kind, has failed since they were last confirmed. Otherwise a server is asked, by a health check before it gets a request, and its answer counts for 100 ms; unanswered it counts as cold for 500 ms. Servers of a failure domain that is back, and servers that reset connections, are asked once while entries are current. A server is asked only if a request would go there, so that the checks of a daemon are bounded by its requests.

The stand-in servers of the tests answer health checks apart from requests now, as real ones do; what the tests compare is unchanged.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,6 +1,10 @@
 export {fold} from './result/fold.js';
 export {Clock, type Cancel, type Millis} from './time/clock.js';
-export {ServerWarmth, type WarmthChange} from './gateway/server-warmth.js';
+export {
+	ServerWarmth,
+	type Warmth,
+	type WarmthChange,
+} from './gateway/server-warmth.js';
 export {Random, SeededRandom} from './chance/random.js';
 export {hash32, hash64, hashBytes, rendezvous} from './chance/hash.js';
 export {
--- a/packages/daemon/src/gateway/gateway-attempt.ts
+++ b/packages/daemon/src/gateway/gateway-attempt.ts
@@ -69,7 +69,7 @@
 	}
 
 	async run(): Promise<AttemptEnd> {
-		const {picks, connections, clock, log, view} = this.context;
+		const {picks, connections, clock, log, view, warmth} = this.context;
 		const {id, service, key, version, until, server, number} = this.plan;
 		const {backendServer, address} = server;
 		const leftMs = Math.max(1, until - clock.now());
@@ -89,7 +89,7 @@
 			version,
 			key,
 			fence: picks.fence(service.service, key),
-			coldMs: server.coldMs,
+			warmth: warmth.of(service, server),
 			load: Number(picks.loads.load(server, clock.now()).toFixed(2)),
 			leftMs: Math.round(leftMs),
 		});
@@ -114,6 +114,10 @@
 			view.suspectRangeTables();
 		}
 
+		if (end.kind === 'unsent' || (end.kind === 'lost' && end.reset)) {
+			warmth.recordReset(server);
+		}
+
 		if (end.kind === 'lost' && end.silent) {
 			connections.retire(address, dispatcher);
 		}
--- a/packages/daemon/src/gateway/gateway-exchange.ts
+++ b/packages/daemon/src/gateway/gateway-exchange.ts
@@ -178,7 +178,7 @@
 	async #sendUntilAnswered(
 		request: RoutedRequest,
 	): Promise<RequestEnd | undefined> {
-		const {picks, clock, budgets, traffic, view} = this.context;
+		const {picks, clock, budgets, traffic, view, warmth} = this.context;
 		const {service, key} = request;
 		const early = this.#refusalBeforeSending(request);
 		if (early) {
@@ -208,7 +208,18 @@
 				return reportedEnd ? endAfterFailure(reportedEnd, refusal) : refusal;
 			}
 
-			const server = picked.unsafeCoerce();
+			const choice = picked.unsafeCoerce();
+			const {server} = choice;
+			if (choice.warmth === 'unknown') {
+				await warmth.check(service, server);
+				const late = this.#refusalBeforeSending(request);
+				if (late) {
+					return reportedEnd ? endAfterFailure(reportedEnd, late) : late;
+				}
+
+				continue;
+			}
+
 			if (reportedEnd) {
 				if (!this.#mayRetry(request, server.backendServer, tried)) {
 					return endAfterFailure(reportedEnd, undefined);
--- a/packages/daemon/src/gateway/gateway-metrics.ts
+++ b/packages/daemon/src/gateway/gateway-metrics.ts
@@ -47,6 +47,13 @@
 		registers: [this.#registry],
 	});
 
+	readonly #warmthChecks = new Counter({
+		name: 'kingcuproute_gateway_warmth_checks_total',
+		help: 'Backend servers asked whether they are cold: answered or unanswered',
+		labelNames: ['outcome'] as const,
+		registers: [this.#registry],
+	});
+
 	readonly #storeCalls = new Counter({
 		name: 'kingcuproute_gateway_store_calls_total',
 		help: 'Calls to the store, by kind of object and call; a list of several pages counts once',
@@ -89,6 +96,10 @@
 		this.#warmthChanges.inc({warmth});
 	}
 
+	warmthChecked(outcome: 'answered' | 'unanswered'): void {
+		this.#warmthChecks.inc({outcome});
+	}
+
 	serverNotice(notice: 'leaving' | 'hold' | 'malformed'): void {
 		this.#notices.inc({notice});
 	}
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -9,20 +9,23 @@
 	type Random,
 } from '@kingcuproute/core';
 import {
+	HttpHealthChecks,
 	HttpKeyOrders,
 	HttpObjectStore,
 	SystemClock,
 	type Deployment,
+	type HealthChecks,
 	type KeyOrders,
 	type ObjectStore,
 } from '@kingcuproute/platform';
 import {container} from 'tsyringe';
 import {Log} from '../log/log.js';
 import {logUnexpectedErrors} from '../log/unexpected-errors.js';
-import {CountedStore} from './counted-store.js';
 import {GatewayEntryTask} from './gateway-entry-task.js';
 import {GatewayMetrics} from './gateway-metrics.js';
 import {KeepersTask} from './keepers-task.js';
+import {ObservedStore} from './observed-store.js';
+import {StoreContact} from './store-contact.js';
 import {TrafficTask} from './traffic-task.js';
 import {ViewTask} from './view-task.js';
 
@@ -49,11 +52,16 @@
 		child.registerInstance(Log, this.#log);
 		child.registerInstance<ObjectStore>(
 			'Store',
-			new CountedStore(
+			new ObservedStore(
 				new HttpObjectStore(deployment.store.address, clock),
 				child.resolve(GatewayMetrics),
+				child.resolve(StoreContact),
 			),
 		);
+		child.registerInstance<HealthChecks>(
+			'HealthChecks',
+			new HttpHealthChecks(clock),
+		);
 		child.registerInstance<KeyOrders>('KeyOrders', new HttpKeyOrders(clock));
 		this.#view = child.resolve(ViewTask);
 		this.#entry = child.resolve(GatewayEntryTask);
--- a/packages/daemon/src/gateway/kind-follower.ts
+++ b/packages/daemon/src/gateway/kind-follower.ts
@@ -74,7 +74,7 @@
 		return this.#lastFailureAt;
 	}
 
-	/** When a call was last answered; -Infinity if none was. */
+	/** When an answered call last showed that the objects are current; -Infinity if none has. */
 	get lastSuccessAt(): Millis {
 		return this.#lastSuccessAt;
 	}
@@ -159,6 +159,7 @@
 				this.#unreadable = new Set(unreadable);
 
 				this.#revision = revision;
+				this.#lastSuccessAt = this.context.clock.now();
 				this.objects.publish(
 					new Map(objects.map((object) => [object.name, object])),
 				);
@@ -190,6 +191,7 @@
 			},
 			({revision, changes, unreadable = []}) => {
 				this.#revision = Math.max(since, revision);
+				this.#lastSuccessAt = this.context.clock.now();
 				this.#logUnreadable(unreadable);
 				this.#unreadable = new Set([...this.#unreadable, ...unreadable]);
 				this.#hadChanges = changes.length > 0;
@@ -239,6 +241,8 @@
 				if (missed.unsafeCoerce().changes.length > 0) {
 					return undefined;
 				}
+
+				this.#lastSuccessAt = clock.now();
 			}
 		};
 
@@ -259,11 +263,8 @@
 	}
 
 	#recordOutcome(error: string | undefined): void {
-		const now = this.context.clock.now();
-		if (error === undefined) {
-			this.#lastSuccessAt = now;
-		} else {
-			this.#lastFailureAt = now;
+		if (error !== undefined) {
+			this.#lastFailureAt = this.context.clock.now();
 		}
 
 		const isUp = error === undefined;
--- a/packages/daemon/src/gateway/server-picks.ts
+++ b/packages/daemon/src/gateway/server-picks.ts
@@ -9,12 +9,14 @@
 	type Millis,
 	type Random,
 	type RoutedService,
+	type Warmth,
 } from '@kingcuproute/core';
 import {Left, Right, type Either} from 'purify-ts';
 import {inject, singleton} from 'tsyringe';
 import {type RequestEnd} from './request-end.js';
 import {ServerNotices} from './server-notices.js';
 import {ViewTask} from './view-task.js';
+import {WarmthChecks} from './warmth-checks.js';
 
 /** What the choice of a request's server depends on. */
 export type PickCriteria = {
@@ -27,6 +29,12 @@
 	readonly lastFailure: {readonly by: string; readonly at: Millis} | undefined;
 };
 
+/** The server chosen for an attempt. It has to be asked first whether it is cold, and chosen anew, if that is unknown. */
+export type Choice = {
+	readonly server: ListedServer;
+	readonly warmth: Warmth;
+};
+
 /** About the run time of the shortest requests: a slot is likely to be free by then. */
 const overloadedRetryMs = 300;
 /** A key's holder that declined or lost the request gets it again after this: by then the key may have moved, or a slot is likely to be free. */
@@ -47,6 +55,7 @@
 	constructor(
 		@inject(ViewTask) private readonly view: ViewTask,
 		@inject(ServerNotices) private readonly notices: ServerNotices,
+		@inject(WarmthChecks) private readonly warmth: WarmthChecks,
 		@inject('Clock') private readonly clock: Clock,
 		@inject('Random') private readonly random: Random,
 	) {
@@ -62,13 +71,13 @@
 		return table && key !== undefined ? rangeOf(table, key)?.fence : undefined;
 	}
 
-	pick(criteria: PickCriteria): Either<RequestEnd, ListedServer> {
+	pick(criteria: PickCriteria): Either<RequestEnd, Choice> {
 		return criteria.service.keyed
 			? this.#pickOwner(criteria)
 			: this.#pickAny(criteria);
 	}
 
-	#pickOwner(criteria: PickCriteria): Either<RequestEnd, ListedServer> {
+	#pickOwner(criteria: PickCriteria): Either<RequestEnd, Choice> {
 		const {service, key, lastFailure} = criteria;
 		const table = this.view.view.value.rangeTables.get(service.service);
 		if (key === undefined) {
@@ -87,7 +96,7 @@
 			: this.#admit(criteria, [owner], noOwner);
 	}
 
-	#pickAny(criteria: PickCriteria): Either<RequestEnd, ListedServer> {
+	#pickAny(criteria: PickCriteria): Either<RequestEnd, Choice> {
 		const {service, tried} = criteria;
 		const untried = this.#inService(service).filter(
 			({backendServer}) => !tried.includes(backendServer),
@@ -104,7 +113,7 @@
 		criteria: PickCriteria,
 		serving: readonly ListedServer[],
 		refusalIfNone: RequestEnd,
-	): Either<RequestEnd, ListedServer> {
+	): Either<RequestEnd, Choice> {
 		const {servers, heldMs} = this.notices.candidates(serving);
 		if (servers.length > 0) {
 			return this.#chooseByLoad(criteria, servers);
@@ -120,25 +129,28 @@
 				});
 	}
 
-	/** Cold servers are sent only a few requests a second by all daemons together. */
+	/** Cold servers get requests only if there are no others, and a few a second from all daemons together. */
 	#chooseByLoad(
 		{service, tried}: PickCriteria,
 		servers: readonly ListedServer[],
-	): Either<RequestEnd, ListedServer> {
+	): Either<RequestEnd, Choice> {
 		const now = this.clock.now();
 		const rate = service.coldRate / this.view.view.value.daemons;
-		const warm = servers.filter(({coldMs}) => coldMs === 0);
-		const candidates = warm.length > 0 ? warm : servers;
+		const notCold = servers.filter(
+			(server) => this.warmth.of(service, server) !== 'cold',
+		);
+		const candidates = notCold.length > 0 ? notCold : servers;
 		const isRetry = !service.keyed && tried.length > 0;
 		const server = this.loads.choose(candidates, now, isRetry);
 		if (!server) {
 			return Left(this.#refusal('overloaded', candidates));
 		}
 
-		const isAdmitted =
-			server.coldMs === 0 ||
-			this.loads.takeColdToken(server.backendServer, rate, now);
-		return isAdmitted ? Right(server) : Left(this.#refusal('cold', candidates));
+		const warmth = this.warmth.of(service, server);
+		return warmth !== 'cold' ||
+			this.loads.takeColdToken(server.backendServer, rate, now)
+			? Right({server, warmth})
+			: Left(this.#refusal('cold', candidates));
 	}
 
 	/** The refusal of a request that no candidate can take now; names the least loaded one. */
--- a/packages/daemon/src/gateway/view-task.ts
+++ b/packages/daemon/src/gateway/view-task.ts
@@ -34,6 +34,7 @@
 import {Topic} from '../task/topic.js';
 import {GatewayMetrics} from './gateway-metrics.js';
 import {KindFollower, type Objects} from './kind-follower.js';
+import {StoreContact} from './store-contact.js';
 
 /** All state that routing reads, as of the newest change. */
 export type GatewayView = {
@@ -42,6 +43,8 @@
 	readonly servers: readonly ListedServer[] | undefined;
 	/** The servers in failure domains in service, by service. Some may be leaving. */
 	readonly inService: ReadonlyMap<string, readonly ListedServer[]>;
+	/** The failure domains out of service. */
+	readonly domainsOut: ReadonlySet<string>;
 	readonly rangeTables: ReadonlyMap<string, RangeTable>;
 	/** Number of daemons that share the backend servers; at least one. */
 	readonly daemons: number;
@@ -63,12 +66,15 @@
 const gatherTablesMs: Millis = 2000;
 /** The shortest such pause: as long as a keeper gathers moves. */
 const minGatherTablesMs: Millis = 250;
+/** Entries that no call has confirmed for this long are not current: a long poll is checked, and the check answered or given up, within it. */
+const maxCurrentMs: Millis = 6500;
 const maxFaultsLogged = 5;
 
 const emptyView: GatewayView = {
 	routes: undefined,
 	servers: undefined,
 	inService: new Map(),
+	domainsOut: new Set(),
 	rangeTables: new Map(),
 	daemons: 1,
 	standbys: new Set(),
@@ -90,6 +96,7 @@
 
 	constructor(
 		@inject('Store') store: ObjectStore,
+		@inject(StoreContact) private readonly contact: StoreContact,
 		@inject('Deployment') {bounds}: Deployment,
 		@inject('Clock') private readonly clock: Clock,
 		@inject('Random') random: Random,
@@ -154,11 +161,24 @@
 		return this.#servers.lastFailureAt;
 	}
 
-	/** When a call for the entries of backend servers was last answered; -Infinity if none was. */
+	/** When an answered call last showed that the entries of backend servers are current; -Infinity if none has. */
 	get serversReadAt(): Millis {
 		return this.#servers.lastSuccessAt;
 	}
 
+	/**
+	 * Whether the entries of backend servers show their present state. No longer once a
+	 * call to the store has failed: whether this daemon or the store is cut off, the
+	 * entries of servers may have changed.
+	 */
+	get isServersCurrent(): boolean {
+		const {lastSuccessAt} = this.#servers;
+		return (
+			lastSuccessAt > this.contact.lastFailureAt &&
+			this.clock.now() - lastSuccessAt < maxCurrentMs
+		);
+	}
+
 	/** To be called when a key has no owner in the range tables, or its owner did not answer a request or does not hold it. */
 	suspectRangeTables(): void {
 		this.rangeTableObjects.hurry();
@@ -216,7 +236,10 @@
 		const failureDomains = [...evacuated].join(',');
 		this.log.info('domains-out', {failureDomains});
 		this.#evacuated = evacuated;
-		this.#update({inService: this.#inService(this.view.value.servers ?? [])});
+		this.#update({
+			domainsOut: evacuated,
+			inService: this.#inService(this.view.value.servers ?? []),
+		});
 	}
 
 	#updateServers(servers: readonly ListedServer[]): void {
--- a/packages/fakes/test/gateway-cold.test.ts
+++ b/packages/fakes/test/gateway-cold.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {createSite, sendAnswer, type Site} from './gateway-site.js';
+import {createSite, sendAnswer, sendHealth, type Site} from './gateway-site.js';
 import {until} from './requests-fixture.js';
 
 /** Requests that a cold server may get in one second: 1.5 times `coldPerS` of the site's configuration, and 5. */
@@ -25,22 +25,20 @@
 		requests: 0,
 		checks: 0,
 	};
-	await site.addServer(name, service, (req, res, body) => {
-		if (req.url !== '/health') {
+	await site.addServer(
+		name,
+		service,
+		(req, res, body) => {
 			server.requests++;
 			sendAnswer(req, res, body);
-			return;
-		}
-
-		server.checks++;
-		if (server.answersChecks) {
-			res.writeHead(200, {
-				'x-kingcuproute-instance-id': name,
-				'x-kingcuproute-cold-ms': server.isCold ? '3000' : '0',
-			});
-			res.end();
-		}
-	});
+		},
+		(res) => {
+			server.checks++;
+			if (server.answersChecks) {
+				sendHealth(res, name, server.isCold ? 3000 : 0);
+			}
+		},
+	);
 	return server;
 }
 
--- a/packages/fakes/test/gateway-site.ts
+++ b/packages/fakes/test/gateway-site.ts
@@ -44,11 +44,12 @@
 		['r4', 'shop.example', '/hold/', 'unsafe', 30_000, 600, 1, 2, 'keyed'],
 	],
 };
+const healthPath = '/health';
 const services = {
 	columns: ['name', 'healthPath', 'maxConns', 'coldPerS', 'warmupS', 'sharded'],
 	rows: [
-		['plain', '/health', 130, 2.8, 3, null],
-		['keyed', '/health', 130, 2.8, 3, true],
+		['plain', healthPath, 130, 2.8, 3, null],
+		['keyed', healthPath, 130, 2.8, 3, true],
 	],
 };
 const limits = {
@@ -67,6 +68,9 @@
 	body: string,
 ) => void;
 
+/** How the backend server `name` handles a health check. */
+export type HealthHandler = (res: ServerResponse, name: string) => void;
+
 /** A store, backend servers, and one daemon that routes requests to them. */
 export class Site {
 	readonly store = new StandInStore();
@@ -79,11 +83,12 @@
 	readonly #servers: Server[] = [];
 	readonly #folder = mkdtempSync(path.join(tmpdir(), 'gateway-'));
 
-	/** Starts and registers a server; `handle` gets every request except key orders, whose paths start with /kingcuproute/. */
+	/** Starts and registers a server; `handle` gets every request except key orders, whose paths start with /kingcuproute/, and health checks. */
 	async addServer(
 		name: string,
 		service: string,
 		handle: RequestHandler,
+		check: HealthHandler = sendWarm,
 	): Promise<void> {
 		const server = createServer((req, res) => {
 			void (async () => {
@@ -95,6 +100,8 @@
 						'x-kingcuproute-handover': 'h',
 					});
 					res.end();
+				} else if (req.url === healthPath) {
+					check(res, name);
 				} else {
 					handle(req, res, chunks.join(''));
 				}
@@ -258,6 +265,23 @@
 	return site;
 }
 
+/** Answers a health check of the server `name`: it will be cold for `coldMs`. */
+export function sendHealth(
+	res: ServerResponse,
+	name: string,
+	coldMs: number,
+): void {
+	res.writeHead(200, {
+		'x-kingcuproute-instance-id': name,
+		'x-kingcuproute-cold-ms': String(coldMs),
+	});
+	res.end();
+}
+
+function sendWarm(res: ServerResponse, name: string): void {
+	sendHealth(res, name, 0);
+}
+
 /** Answers with status 200 and the fields that a correct server sends. */
 export function sendAnswer(
 	req: IncomingMessage,
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -34,6 +34,11 @@
 	type OrderTarget,
 	type OrderOutcome,
 } from './key-orders.js';
+export {
+	HealthChecks,
+	HttpHealthChecks,
+	type CheckedServer,
+} from './health-checks.js';
 export {
 	daemonsKind,
 	keepersKind,
--- a/packages/platform/src/request-fields.ts
+++ b/packages/platform/src/request-fields.ts
@@ -76,7 +76,7 @@
 const misdirectedStatus = 421;
 const unavailableStatus = 503;
 const secondMs: Millis = 1000;
-/** Seconds; more digits than any sensible duration has are malformed. */
+/** More digits than any sensible duration has are malformed. */
 const duration = /^\d{1,9}(\.\d{1,9})?$/;
 
 /** Whether the field that announces a stop is set; undefined if it is malformed. */
@@ -95,6 +95,17 @@
 		: undefined;
 }
 
+/** The time for which a server will still be cold, in ms; 0 without the field, undefined if it is malformed. */
+export function parseColdMs(value: HeaderValue): Millis | undefined {
+	if (value === undefined) {
+		return 0;
+	}
+
+	return typeof value === 'string' && duration.test(value)
+		? Number(value)
+		: undefined;
+}
+
 /** Reads the metadata of an answer, whose field names must be in lower case. */
 export function readAnswerMetadata(
 	status: number,
