Keep the shares of a cold server's rate within what it bears

Cause: a daemon took rate / daemons from a bucket that holds one token. The buckets start empty when a server turns cold, so daemons that see the same load have their next token at the same moment, and after a calm each has one saved. And the number of daemons follows their entries, which they withdraw in a planned stop: in a restart one after another the shares may add up to several times the rate.

Now buckets fill at random phases, and in a fleet with more daemons than the server bears beyond its rate a token that lay unused is good only with a probability; the settings coldOver and coldSlack say what it bears.

--- a/packages/core/src/gateway/server-loads.ts
+++ b/packages/core/src/gateway/server-loads.ts
@@ -54,9 +54,6 @@
 	/** The share of its recent requests that it declined or lost, as of `failShareAt`. */
 	failShare: number;
 	failShareAt: Millis;
-	/** Token bucket for requests sent while the server is cold, as of `coldTokensAt`; it holds at most one token. */
-	coldTokens: number;
-	coldTokensAt: Millis;
 };
 
 export class ServerLoads {
@@ -179,26 +176,6 @@
 		return (inFlight + others * 2 ** (-age / reportHalfLifeMs)) / slots;
 	}
 
-	/**
-	 * Takes a token for one request to a cold server; false if there is none. `rate` is
-	 * this daemon's share of what the server can take while cold, in requests a second.
-	 */
-	takeColdToken(server: string, rate: number, now: Millis): boolean {
-		const stats = this.#statsOf(server);
-		const elapsedMs = Math.max(0, now - stats.coldTokensAt);
-		stats.coldTokens = Math.min(
-			1,
-			stats.coldTokens + (elapsedMs / 1000) * rate,
-		);
-		stats.coldTokensAt = now;
-		if (stats.coldTokens < 1) {
-			return false;
-		}
-
-		stats.coldTokens--;
-		return true;
-	}
-
 	/** The failure share decays over time, so that a server that failed is tried again. */
 	#failShare({failShare, failShareAt}: ServerStats, now: Millis): number {
 		return failShare * 2 ** (-(now - failShareAt) / readingHalfLifeMs);
@@ -234,8 +211,6 @@
 				answeredAt: -Infinity,
 				failShare: 0,
 				failShareAt: 0,
-				coldTokens: 0,
-				coldTokensAt: Infinity,
 			};
 			this.#stats.set(server, stats);
 		}
--- a/packages/daemon/src/gateway/server-picks.ts
+++ b/packages/daemon/src/gateway/server-picks.ts
@@ -1,16 +1,19 @@
 /** Chooses the backend server for a request's next attempt, or says why there is none. */
 import {
+	ColdTokens,
 	isHeldBy,
 	maxLoad,
 	rangeOf,
 	ServerLoads,
 	type Clock,
+	type ColdBounds,
 	type ListedServer,
 	type Millis,
 	type Random,
 	type RoutedService,
 	type Warmth,
 } from '@kingcuproute/core';
+import {type Deployment} from '@kingcuproute/platform';
 import {Left, Right, type Either} from 'purify-ts';
 import {inject, singleton} from 'tsyringe';
 import {type RequestEnd} from './request-end.js';
@@ -51,17 +54,22 @@
 @singleton()
 export class ServerPicks {
 	readonly loads: ServerLoads;
+	readonly #coldTokens: ColdTokens;
 
 	constructor(
 		@inject(ViewTask) private readonly view: ViewTask,
 		@inject(ServerNotices) private readonly notices: ServerNotices,
 		@inject(WarmthChecks) private readonly warmth: WarmthChecks,
+		@inject('Deployment') private readonly deployment: Deployment,
 		@inject('Clock') private readonly clock: Clock,
 		@inject('Random') private readonly random: Random,
 	) {
 		this.loads = new ServerLoads(random);
+		this.#coldTokens = new ColdTokens(random);
 		view.view.subscribe(({servers = []}) => {
-			this.loads.keep(new Set(servers.map(({backendServer}) => backendServer)));
+			const listed = new Set(servers.map(({backendServer}) => backendServer));
+			this.loads.keep(listed);
+			this.#coldTokens.keep(listed);
 		});
 	}
 
@@ -135,7 +143,6 @@
 		servers: readonly ListedServer[],
 	): Either<RequestEnd, Choice> {
 		const now = this.clock.now();
-		const rate = service.coldRate / this.view.view.value.daemons;
 		const notCold = servers.filter(
 			(server) => this.warmth.of(service, server) !== 'cold',
 		);
@@ -148,11 +155,21 @@
 
 		const warmth = this.warmth.of(service, server);
 		return warmth !== 'cold' ||
-			this.loads.takeColdToken(server.backendServer, rate, now)
+			this.#coldTokens.take(
+				server.backendServer,
+				this.#coldBounds(service),
+				now,
+			)
 			? Right({server, warmth})
 			: Left(this.#refusal('cold', candidates));
 	}
 
+	#coldBounds({coldRate: rate}: RoutedService): ColdBounds {
+		const {coldFactor, coldSlack} = this.deployment.bounds;
+		const excess = rate * (coldFactor - 1) + coldSlack;
+		return {rate, excess, daemons: this.view.view.value.daemons};
+	}
+
 	/** The refusal of a request that no candidate can take now; names the least loaded one. */
 	#refusal(
 		reason: 'overloaded' | 'cold',
--- a/packages/daemon/src/gateway/view-task.ts
+++ b/packages/daemon/src/gateway/view-task.ts
@@ -1,6 +1,7 @@
 /** The daemon's view of the platform's store: routes, backend servers, domains out of service and range tables. */
 import {
 	chooseStandbys,
+	FleetSize,
 	fold,
 	LapseHold,
 	RouteTable,
@@ -89,6 +90,7 @@
 	readonly #followers: readonly KindFollower[];
 	#evacuated: ReadonlySet<string> = new Set();
 	readonly #lapseHold = new LapseHold();
+	readonly #fleetSize = new FleetSize();
 	/** Each object belongs to one kind, and so to one parser. */
 	readonly #parsed = new WeakMap<StoredObject, Validated<unknown>>();
 	/** Revision by object path of objects that could not be parsed, so that each is logged once. */
@@ -150,7 +152,7 @@
 			// An entry that can't be read still stands for a daemon that needs its share.
 			const count = objects?.size ?? 0;
 			this.#update({
-				daemons: Math.max(1, count),
+				daemons: this.#fleetSize.update(count, clock.now()),
 				standbys: chooseStandbys(daemons),
 			});
 		});
--- a/packages/platform/src/deployment.ts
+++ b/packages/platform/src/deployment.ts
@@ -53,12 +53,17 @@
 		/** Such sends allowed in addition to that share in `retryWindowMs`, over all daemons. */
 		readonly retrySlack: number;
 		readonly retryWindowMs: Millis;
+		/** A cold server bears, in one second, `coldFactor` times its rate and `coldSlack` requests, from all daemons together. */
+		readonly coldFactor: number;
+		readonly coldSlack: number;
 	};
 };
 
 const secondMs: Millis = 1000;
-/** For a platform that states no such bound. */
+/** For a platform that states no such bounds. */
 const defaultDrainMs: Millis = 2000;
+const defaultColdFactor = 1.5;
+const defaultColdSlack = 5;
 const megabyteLen = 1_048_576;
 /** Share of a machine's memory for bodies in transit, if the settings don't say; the runtime needs the rest. */
 const bufferShare = 0.1;
@@ -107,6 +112,8 @@
 			retryBudgetRatio: numeric,
 			retryBudgetSlack: numeric,
 			budgetWindowS: numeric,
+			coldOver: numeric.optional(),
+			coldSlack: numeric.optional(),
 		}),
 	}),
 });
@@ -196,6 +203,8 @@
 			retryShare: bounds.retryBudgetRatio,
 			retrySlack: bounds.retryBudgetSlack,
 			retryWindowMs: bounds.budgetWindowS * secondMs,
+			coldFactor: bounds.coldOver ?? defaultColdFactor,
+			coldSlack: bounds.coldSlack ?? defaultColdSlack,
 		},
 	};
 }
