Serve no caller before everything that routing rests on has been read

A daemon that had read the configuration and the servers, but not the failure domains out of service nor the other daemons, took every domain for one in service and itself for the only daemon: it sent requests to a domain out of service, took the whole retry slack and all connections, and the whole rate of cold servers. It also started to keep keys, on servers of such a domain.

Now it is ready, and keeps keys, once each kind has been read. The new test of gateway-cold got 200 from a server out of service before.

--- a/packages/daemon/src/gateway/gateway-entry-task.ts
+++ b/packages/daemon/src/gateway/gateway-entry-task.ts
@@ -128,8 +128,7 @@
 	}
 
 	get isReady(): boolean {
-		const {routes, servers} = this.#context.view.view.value;
-		return !this.#stopPlan && routes !== undefined && servers !== undefined;
+		return !this.#stopPlan && this.#context.view.isComplete;
 	}
 
 	override async start(): Promise<void> {
--- a/packages/daemon/src/gateway/gateway-exchange.ts
+++ b/packages/daemon/src/gateway/gateway-exchange.ts
@@ -98,7 +98,7 @@
 	async #route(id: string, arrivedAt: Millis): Promise<RequestEnd | undefined> {
 		const {view, random} = this.context;
 		const {routes, servers} = view.view.value;
-		if (!routes || !servers) {
+		if (!routes || !servers || !view.isComplete) {
 			return {
 				reason: 'no-config',
 				notRun: true,
--- a/packages/daemon/src/gateway/keepers-task.ts
+++ b/packages/daemon/src/gateway/keepers-task.ts
@@ -151,8 +151,8 @@
 	}
 
 	#startKeepers(): void {
-		const {routes, servers} = this.view.view.value;
-		if (!routes || !servers || !this.#leases.objects.value) {
+		const {routes} = this.view.view.value;
+		if (!routes || !this.view.isComplete || !this.#leases.objects.value) {
 			return;
 		}
 
--- a/packages/daemon/src/gateway/view-task.ts
+++ b/packages/daemon/src/gateway/view-task.ts
@@ -158,6 +158,17 @@
 		});
 	}
 
+	/**
+	 * Whether all that routing rests on has been read once. Until then a failure domain out
+	 * of service would pass for one in service, and this daemon for the only one.
+	 */
+	get isComplete(): boolean {
+		return (
+			this.view.value.routes !== undefined &&
+			this.#followers.every(({objects}) => objects.value !== undefined)
+		);
+	}
+
 	/** When a call for the entries of backend servers last failed; -Infinity if none has. */
 	get serversFailedAt(): Millis {
 		return this.#servers.lastFailureAt;
--- a/packages/fakes/src/platform/stand-in-store.ts
+++ b/packages/fakes/src/platform/stand-in-store.ts
@@ -33,6 +33,8 @@
 	pageLen = 2;
 	/** If set, every call is answered with this status. */
 	failing: number | undefined;
+	/** Kinds of objects for which every call is answered with 503. */
+	readonly failingKinds = new Set<string>();
 	/** A watch from a revision before this one is answered with 410. */
 	forgottenTo = 0;
 	readonly #kinds = new Map<string, Map<string, StoredText>>();
@@ -113,6 +115,8 @@
 		const body = text === '' ? undefined : (JSON.parse(text) as ObjectDocument);
 		if (this.failing !== undefined) {
 			send(res, this.failing, 'failing');
+		} else if (this.failingKinds.has(kind)) {
+			send(res, 503, 'failing');
 		} else if (req.method === 'GET' && searchParams.has('watch')) {
 			this.#watch(kind, searchParams, res);
 		} else if (req.method === 'GET') {
--- a/packages/fakes/test/gateway-cold.test.ts
+++ b/packages/fakes/test/gateway-cold.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import {createSite, sendAnswer, sendHealth, type Site} from './gateway-site.js';
-import {until} from './requests-fixture.js';
+import {pause, until} from './requests-fixture.js';
 
 /** Requests that a cold server may get in one second: 1.5 times `coldPerS` of the site's configuration, and 5. */
 const maxColdRequests = 1.5 * 2.8 + 5;
@@ -102,6 +102,22 @@
 	t.true(cold.requests <= maxColdRequests, `${cold.requests} requests`);
 });
 
+test('a daemon that starts sends nothing to a failure domain before it knows whether that is in service', async (t) => {
+	const site = createSite(t);
+	const server = await addWarmingServer(site, 'i-1', 'plain');
+	site.store.put('evacuations', 'a', {});
+	site.store.failingKinds.add('evacuations');
+	const readable = (async () => {
+		await pause(1500);
+		site.store.failingKinds.clear();
+	})();
+	await site.start();
+	t.is(await site.statusOf('/read/x'), 503);
+	await readable;
+	t.is(await site.statusOf('/read/x'), 503);
+	t.is(server.requests, 0);
+});
+
 test('a daemon cut off from the store serves every request at warm servers, with few checks for each', async (t) => {
 	const site = createSite(t);
 	const servers = [
