--- a/packages/daemon/src/gateway/gateway-exchange.ts
+++ b/packages/daemon/src/gateway/gateway-exchange.ts
@@ -178,7 +178,7 @@
 	async #sendUntilAnswered(
 		request: RoutedRequest,
 	): Promise<RequestEnd | undefined> {
-		const {picks, clock, budgets, traffic, view, warmth} = this.context;
+		const {picks, clock, budgets, traffic, warmth} = this.context;
 		const {service, key} = request;
 		const early = this.#refusalBeforeSending(request);
 		if (early) {
@@ -197,12 +197,8 @@
 			const picked = picks.pick({service, key, tried, lastFailure});
 			if (picked.isLeft()) {
 				const refusal = picked.extract();
-				if (refusal.reason === 'no-owner') {
-					view.suspectRangeTables();
-					if (this.#mayWaitForOwner(request)) {
-						await clock.sleep(ownerPollMs);
-						continue;
-					}
+				if (await this.#waitForOwner(request, refusal)) {
+					continue;
 				}
 
 				return reportedEnd ? endAfterFailure(reportedEnd, refusal) : refusal;
@@ -240,9 +236,7 @@
 				return undefined;
 			}
 
-			// Once an attempt may have run the request, a later one that did not run it changes nothing.
-			reportedEnd =
-				reportedEnd && ranAfter(reportedEnd) !== 'not-run' ? reportedEnd : end;
+			reportedEnd = endToReport(reportedEnd, end);
 			const mayRepeat =
 				request.rule.repeatability === 'safe' || ranAfter(end) === 'not-run';
 			if (!mayRepeat || !this.#mayRetry(request, server.backendServer, tried)) {
@@ -295,9 +289,23 @@
 		);
 	}
 
-	#mayWaitForOwner({arrivedAt, until}: RoutedRequest): boolean {
-		const {clock} = this.context;
-		return clock.now() - arrivedAt < (until - arrivedAt) * ownerWaitShare;
+	/** Waits a little for the key of a refused request to find an owner; false if it can't wait, or was refused for another reason. */
+	async #waitForOwner(
+		{arrivedAt, until}: RoutedRequest,
+		{reason}: RequestEnd,
+	): Promise<boolean> {
+		if (reason !== 'no-owner') {
+			return false;
+		}
+
+		const {clock, view} = this.context;
+		view.suspectRangeTables();
+		if (clock.now() - arrivedAt >= (until - arrivedAt) * ownerWaitShare) {
+			return false;
+		}
+
+		await clock.sleep(ownerPollMs);
+		return true;
 	}
 
 	#readKey(): number | undefined {
@@ -311,6 +319,14 @@
 	}
 }
 
+/** Once an attempt may have run the request, a later one that did not run it changes nothing. */
+function endToReport(
+	earlier: AttemptEnd | undefined,
+	end: AttemptEnd,
+): AttemptEnd {
+	return earlier && ranAfter(earlier) !== 'not-run' ? earlier : end;
+}
+
 /**
  * Lets the event loop run on. In a daemon that has fallen behind, the end of a caller's
  * connection may already wait right behind its request.
