Give no keys to cold servers while half of the service's servers are warm

Evening out the load already passed cold servers over; the plan for new servers and for keys without an owner did not.

Now new servers get keys once they are warm, and keys without an owner go to warm servers unless these are fewer than half. The test failed before.

--- a/packages/core/src/gateway/key-plan.ts
+++ b/packages/core/src/gateway/key-plan.ts
@@ -1,6 +1,8 @@
 /**
  * Plans the moves of keys that don't depend on load: the keys of servers that are gone
  * or leaving get a new owner, and a new server gets an even share by number of keys.
+ * Keys go to cold servers only where there are too few others, since requests for the
+ * keys of a cold server are refused beyond the few that it can take.
  */
 import {type ListedServer} from './listed-server.js';
 import {
@@ -22,6 +24,9 @@
 	readonly target: ListedServer;
 };
 
+/** If a smaller share of the servers is warm, cold ones get keys that have no owner as well. */
+const minWarmShare = 0.5;
+
 /** The moves that adapt the table to `servers`, none of which is leaving. */
 export function planKeyMoves(
 	{ranges}: RangeTable,
@@ -45,14 +50,17 @@
 			: ranges
 					.filter((range) => !runs.has(ownerKeyOf(range)))
 					.map((range) => ({from: range.from, to: range.to, holder: range}));
-	const evenShare = (maxKey + 1) / servers.length;
+	const warm = servers.filter(({coldMs}) => coldMs === 0);
+	const targets = warm.length < servers.length * minWarmShare ? servers : warm;
+	const targetShare = Math.ceil((maxKey + 1) / targets.length);
 	const missing = new Map(
-		servers.map(({backendServer}) => [
+		targets.map(({backendServer}) => [
 			backendServer,
-			Math.max(0, Math.ceil(evenShare) - keyCounts.get(backendServer)!),
+			Math.max(0, targetShare - keyCounts.get(backendServer)!),
 		]),
 	);
-	const moves = distribute(unowned, servers, missing);
+	const moves = distribute(unowned, targets, missing);
+	const evenShare = (maxKey + 1) / servers.length;
 	return moves.length > 0
 		? moves
 		: movesToNewServers(byOwner, servers, {keyCounts, evenShare});
@@ -185,7 +193,7 @@
 	queue.splice(index, 0, server);
 }
 
-/** Moves keys of the servers that have most to each server that has none, up to an even share. */
+/** Moves keys of the servers that have most to each warm server that has none, up to an even share. */
 function movesToNewServers(
 	byOwner: ReadonlyMap<string, readonly KeyRange[]>,
 	servers: readonly ListedServer[],
@@ -211,7 +219,10 @@
 		.sort((a, b) => countOf(b) - countOf(a));
 	const shareCount = Math.floor(evenShare);
 	const moves: KeyMove[] = [];
-	for (const target of servers.filter((server) => countOf(server) === 0)) {
+	const targets = servers.filter(
+		(server) => countOf(server) === 0 && server.coldMs === 0,
+	);
+	for (const target of targets) {
 		let wantedCount = shareCount;
 		while (wantedCount > 0 && donors.length > 0) {
 			const [donor] = donors;
--- a/packages/core/test/gateway/key-load.test.ts
+++ b/packages/core/test/gateway/key-load.test.ts
@@ -92,6 +92,23 @@
 	t.deepEqual(planLoadMoves(evenTable(), servers, unknown), []);
 });
 
+test('a cold server gets no keys while half of the servers are warm, and its share once it is warm', (t) => {
+	const cold = server('s4', 900);
+	t.deepEqual(planKeyMoves(evenTable(), [...servers, cold]), []);
+	const toWarm = planKeyMoves(evenTable(), [...servers, server('s4')]);
+	t.true(toWarm.length > 0);
+	t.true(toWarm.every(({target}) => target.backendServer === 's4'));
+
+	// The keys of a lost server go to the warm ones, unless these are few.
+	const [, ...survivors] = servers;
+	const toSurvivors = planKeyMoves(evenTable(), [...survivors, cold]);
+	t.true(toSurvivors.length > 0);
+	t.true(toSurvivors.every(({target}) => target.coldMs === 0));
+	const oneWarm = [servers[1], server('s2', 900), server('s3', 900), cold];
+	const toAny = planKeyMoves(evenTable(), oneWarm);
+	t.true(toAny.some(({target}) => target.coldMs > 0));
+});
+
 test('a cold server gets no keys, and a single hot key is not moved', (t) => {
 	const rates = new Map([[20_000, 10]]);
 	const traffic = {rates, runMs};
