--- a/packages/daemon/src/gateway/observed-store.ts
+++ b/packages/daemon/src/gateway/observed-store.ts
@@ -1,14 +1,12 @@
 /** Counts the calls to the platform's store by kind of object and call, as every call has its price, and records which fail. */
 import {type Millis} from '@kingcuproute/core';
-import {
-	ObjectStore,
-	type ObjectError,
-	type ObjectWrite,
-} from '@kingcuproute/platform';
-import {type Either} from 'purify-ts';
+import {ObjectStore, type ObjectWrite} from '@kingcuproute/platform';
 import {type GatewayMetrics} from './gateway-metrics.js';
 import {type StoreContact} from './store-contact.js';
 
+/** The failure of a long poll after this time is no news, since shorter calls are made beside it. */
+const outdatedMs: Millis = 5000;
+
 export class ObservedStore extends ObjectStore {
 	constructor(
 		private readonly store: ObjectStore,
@@ -20,7 +18,7 @@
 
 	override async list(kind: string, stale = false) {
 		this.metrics.storeCalled(kind, stale ? 'list-stale' : 'list');
-		return this.#record(this.store.list(kind, stale));
+		return this.contact.observe(this.store.list(kind, stale));
 	}
 
 	override async watch(
@@ -30,24 +28,17 @@
 		stale = false,
 	) {
 		this.metrics.storeCalled(kind, stale ? 'watch-stale' : 'watch');
-		return this.#record(this.store.watch(kind, revision, waitMs, stale));
+		const call = this.store.watch(kind, revision, waitMs, stale);
+		return this.contact.observe(call, Math.max(waitMs, outdatedMs));
 	}
 
 	override async write(write: ObjectWrite) {
 		this.metrics.storeCalled(write.kind, 'write');
-		return this.#record(this.store.write(write));
+		return this.contact.observe(this.store.write(write));
 	}
 
 	override async remove(kind: string, name: string) {
 		this.metrics.storeCalled(kind, 'remove');
-		return this.#record(this.store.remove(kind, name));
-	}
-
-	async #record<T>(
-		call: Promise<Either<ObjectError, T>>,
-	): Promise<Either<ObjectError, T>> {
-		const outcome = await call;
-		this.contact.record(outcome);
-		return outcome;
+		return this.contact.observe(this.store.remove(kind, name));
 	}
 }
--- a/packages/daemon/src/gateway/store-contact.ts
+++ b/packages/daemon/src/gateway/store-contact.ts
@@ -15,12 +15,24 @@
 		return this.#lastFailureAt;
 	}
 
-	/** Records the outcome of a call. An object that is missing, or at another revision, is an answer. */
-	record(outcome: Either<ObjectError, unknown>): void {
+	/**
+	 * Resolves with the outcome of `call`, recorded. An object that is missing, or at
+	 * another revision, is an answer. A call that has lasted for `outdatedMs` says how the
+	 * store was reached when it began, which later calls have shown already.
+	 */
+	async observe<T>(
+		call: Promise<Either<ObjectError, T>>,
+		outdatedMs: Millis = Infinity,
+	): Promise<Either<ObjectError, T>> {
+		const startedAt = this.clock.now();
+		const outcome = await call;
+		const now = this.clock.now();
 		outcome.ifLeft(({kind}) => {
-			if (kind === 'refused' || kind === 'unknown') {
-				this.#lastFailureAt = this.clock.now();
+			const hasFailed = kind === 'refused' || kind === 'unknown';
+			if (hasFailed && now - startedAt < outdatedMs) {
+				this.#lastFailureAt = now;
 			}
 		});
+		return outcome;
 	}
 }
