--- a/packages/daemon/src/gateway/view-task.ts
+++ b/packages/daemon/src/gateway/view-task.ts
@@ -6,9 +6,7 @@
 	LapseHold,
 	RouteTable,
 	serversByService,
-	type Validated,
 	type Clock,
-	type Fault,
 	type ListedServer,
 	type Millis,
 	type Random,
@@ -27,7 +25,6 @@
 	serversKind,
 	type Deployment,
 	type ObjectStore,
-	type StoredObject,
 } from '@kingcuproute/platform';
 import {inject, singleton} from 'tsyringe';
 import {Log} from '../log/log.js';
@@ -35,6 +32,7 @@
 import {Topic} from '../task/topic.js';
 import {GatewayMetrics} from './gateway-metrics.js';
 import {KindFollower, type Objects} from './kind-follower.js';
+import {ObjectReader} from './object-reader.js';
 import {StoreContact} from './store-contact.js';
 
 /** All state that routing reads, as of the newest change. */
@@ -69,7 +67,6 @@
 const minGatherTablesMs: Millis = 250;
 /** Entries that no call has confirmed for this long are not current: a long poll is checked, and the check answered or given up, within it. */
 const maxCurrentMs: Millis = 6500;
-const maxFaultsLogged = 5;
 
 const emptyView: GatewayView = {
 	routes: undefined,
@@ -91,10 +88,7 @@
 	#evacuated: ReadonlySet<string> = new Set();
 	readonly #lapseHold = new LapseHold();
 	readonly #fleetSize = new FleetSize();
-	/** Each object belongs to one kind, and so to one parser. */
-	readonly #parsed = new WeakMap<StoredObject, Validated<unknown>>();
-	/** Revision by object path of objects that could not be parsed, so that each is logged once. */
-	readonly #unreadable = new Map<string, number>();
+	readonly #reader: ObjectReader;
 
 	constructor(
 		@inject('Store') store: ObjectStore,
@@ -102,10 +96,11 @@
 		@inject('Deployment') {bounds}: Deployment,
 		@inject('Clock') private readonly clock: Clock,
 		@inject('Random') random: Random,
-		@inject(GatewayMetrics) private readonly metrics: GatewayMetrics,
+		@inject(GatewayMetrics) metrics: GatewayMetrics,
 		@inject(Log) private readonly log: Log,
 	) {
 		super();
+		this.#reader = new ObjectReader(metrics, log);
 		const follow = (kind: string) =>
 			new KindFollower(kind, {store, clock, random, log});
 		const [config, servers, evacuations, rangeTables, daemons] = [
@@ -128,7 +123,11 @@
 			this.#updateConfig(objects);
 		});
 		servers.objects.subscribe((objects) => {
-			const listed = this.#parseAll(serversKind, objects, parseListedServer);
+			const listed = this.#reader.readAll(
+				serversKind,
+				objects,
+				parseListedServer,
+			);
 			const {lastFailureAt} = servers;
 			this.#updateServers(
 				this.#lapseHold.update(listed, lastFailureAt, clock.now()),
@@ -138,16 +137,25 @@
 			this.#updateEvacuated(new Set(objects?.keys()));
 		});
 		rangeTables.objects.subscribe((objects) => {
-			const tables = this.#parseAll(rangeTablesKind, objects, ({name, spec}) =>
-				parseRangeTable(spec).map((table) => [name, table] as const),
+			const tables = this.#reader.readAll(
+				rangeTablesKind,
+				objects,
+				({name, spec}) =>
+					parseRangeTable(spec).map((table) => [name, table] as const),
 			);
 			// A service whose table was overwritten with an invalid one keeps the last valid table.
 			const {rangeTables: known} = this.view.value;
 			this.#update({rangeTables: new Map([...known, ...tables])});
 		});
 		daemons.objects.subscribe((objects) => {
-			const daemons = this.#parseAll(daemonsKind, objects, ({name, spec}) =>
-				parseDaemon(spec).map(({failureDomain}) => ({vm: name, failureDomain})),
+			const daemons = this.#reader.readAll(
+				daemonsKind,
+				objects,
+				({name, spec}) =>
+					parseDaemon(spec).map(({failureDomain}) => ({
+						vm: name,
+						failureDomain,
+					})),
 			);
 			// An entry that can't be read still stands for a daemon that needs its share.
 			const count = objects?.size ?? 0;
@@ -223,7 +231,7 @@
 		fold(
 			parseRoutingConfig(object.spec),
 			(faults) => {
-				this.#logUnreadable(configKind, object, faults);
+				this.#reader.logUnreadable(configKind, object, faults);
 			},
 			({config, faults}) => {
 				const {routes} = this.view.value;
@@ -231,7 +239,7 @@
 					return;
 				}
 
-				this.#logReplacedParts(object, faults);
+				this.#reader.logReplacedParts(configKind, object, faults);
 
 				const {version, rules} = config;
 				const {revision} = object;
@@ -273,64 +281,6 @@
 		return serversByService(servers, this.#evacuated);
 	}
 
-	/** The readable ones of `objects`, parsed. An object that has not changed is not parsed again. */
-	#parseAll<T>(
-		kind: string,
-		objects: Objects | undefined,
-		parse: (object: StoredObject) => Validated<T>,
-	): T[] {
-		const values: T[] = [];
-		for (const object of objects?.values() ?? []) {
-			let parsed = this.#parsed.get(object) as Validated<T> | undefined;
-			if (!parsed) {
-				parsed = parse(object);
-				this.#parsed.set(object, parsed);
-			}
-
-			fold(
-				parsed,
-				(faults) => {
-					this.#logUnreadable(kind, object, faults);
-				},
-				(value) => {
-					values.push(value);
-				},
-			);
-		}
-
-		return values;
-	}
-
-	#logUnreadable(
-		kind: string,
-		{name, revision}: StoredObject,
-		faults: readonly Fault[],
-	): void {
-		const object = `${kind}/${name}`;
-		if (this.#unreadable.get(object) !== revision) {
-			this.#unreadable.set(object, revision);
-			const [{path, message}] = faults;
-			this.metrics.unreadable(kind, 1);
-			this.log.warn('object-unreadable', {object, revision, path, message});
-		}
-	}
-
-	/** Parts of the configuration that can't be read are replaced by cautious values; the rest is in force. */
-	#logReplacedParts({name, revision}: StoredObject, faults: readonly Fault[]) {
-		if (faults.length === 0) {
-			return;
-		}
-
-		const object = `${configKind}/${name}`;
-		const parts = faults
-			.slice(0, maxFaultsLogged)
-			.map(({path, message}) => `${path}: ${message}`)
-			.join('; ');
-		const count = faults.length;
-		this.metrics.unreadable(configKind, count);
-		this.log.warn('config-partly-unreadable', {object, revision, count, parts});
-	}
-
 	#update(changes: Partial<GatewayView>): void {
 		this.view.publish({...this.view.value, ...changes});
 	}
