Leave room for the health check's connection in each daemon's share

A server accepts maxConns connections from all daemons. Each took floor(maxConns / daemons) for requests, and health checks have a connection of their own: 11 daemons at 130 could have 132, so that a server under load would have reset some. The share for requests is one less now.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,6 @@
 export {fold} from './result/fold.js';
 export {Clock, type Cancel, type Millis} from './time/clock.js';
+export {connectionShare} from './gateway/connection-share.js';
 export {FleetSize} from './gateway/fleet-size.js';
 export {ColdTokens, type ColdBounds} from './gateway/cold-tokens.js';
 export {
--- a/packages/daemon/src/gateway/gateway-attempt.ts
+++ b/packages/daemon/src/gateway/gateway-attempt.ts
@@ -1,6 +1,7 @@
 /** One attempt to have a request answered by a backend server, and what it shows about the server's load. */
 import {
 	BufferLease,
+	connectionShare,
 	forwardedHeaders,
 	type AnswerHead,
 	type AttemptEnd,
@@ -73,12 +74,9 @@
 		const {id, service, key, version, until, server, number} = this.plan;
 		const {backendServer, address} = server;
 		const leftMs = Math.max(1, until - clock.now());
-		const connectionsPerDaemon = Math.floor(
-			service.connections / view.view.value.daemons,
-		);
 		const dispatcher = connections.to(
 			address,
-			Math.max(1, connectionsPerDaemon),
+			connectionShare(service.connections, view.view.value.daemons),
 		);
 		this.#attempt = this.#createAttempt(leftMs);
 		log.routing('request-sent', {
