End the answer of a test's server once, in place of at every chunk

The test "an answer without a length is passed on once it exceeds what the daemon buffers" ended the server's answer, with data, at every chunk that its caller received. That went unnoticed only where the kernel had taken the whole answer by the second chunk: a trial that printed the answer's state showed it destroyed from the second call on, in five of five runs.

Shown by: with 24,000,000 bytes in place of 1,500,000 the same uncaught error, at the same line, in one of one run; with the change the test passes at that length.

Change: the answer is ended at the first chunk. What the test checks is the same: the first chunk comes before the server has ended, and every byte arrives.

--- a/packages/fakes/test/gateway.test.ts
+++ b/packages/fakes/test/gateway.test.ts
@@ -196,8 +196,11 @@
 	});
 	let len = 0;
 	for await (const chunk of res.body) {
+		if (len === 0) {
+			finish!();
+		}
+
 		len += (chunk as Uint8Array).length;
-		finish!();
 	}
 
 	t.is(len, longLen + 3);
