Keep a stopping daemon from getting back the key parts that it hands on

Cause: a daemon that stops hands its parts of the key table on, with their records, while the others still take it for a member. Where the members had been settled, they moved the parts straight back: it is the holder that the hash prefers, and it took the records. The daemon handed them on once more, and if the last return was written after it had looked for parts, it exited as their holder. Their successor took over 1.1 s later without the records: a resend, and keys made before that, were refused 409 unproved; or no-key-holder until then. Traced from the logs of four failed runs of "records outlive a planned stop of their holder", all with the same returns of parts (key-table-written, by row).

Change: a stopping daemon takes no records. A part whose records were not taken stays with its holder, which grants again 0.2 s later and does not move it until the members have been settled for another 5 s; before, it moved without them. A stopping daemon that took records in the last second waits for their parts and hands these on too.

--- a/packages/daemon/src/requests/keys/kept-keys.ts
+++ b/packages/daemon/src/requests/keys/kept-keys.ts
@@ -1,5 +1,6 @@
 /** The records of idempotency keys at this daemon, and their transfer to the next holder of a part. */
 import {
+	Clock,
 	KeyRecords,
 	partOf,
 	type KeyRecord,
@@ -15,14 +16,17 @@
 @singleton()
 export class KeptKeys {
 	readonly records: KeyRecords;
+	#transferredAt: Millis = Number.NEGATIVE_INFINITY;
+	#refusesTransfers = false;
 
 	constructor(
 		@inject('Mesh') private readonly mesh: Mesh,
 		@inject('Settings') settings: Settings,
+		@inject('Clock') private readonly clock: Clock,
 	) {
 		this.records = new KeyRecords(settings.keys);
 		mesh.serve(handOn, ({records}) => ({
-			kept: this.records.addAll(
+			kept: this.#keep(
 				(records ?? []).map(({key, claimant, at}): KeyRecord => ({
 					key: key ?? '',
 					claimant: claimant ?? '',
@@ -32,6 +36,16 @@
 		}));
 	}
 
+	/** When another daemon last transferred records to this one. */
+	get transferredAt(): Millis {
+		return this.#transferredAt;
+	}
+
+	/** From now on, takes no records: their parts stay with their holders. */
+	refuseTransfers(): void {
+		this.#refusesTransfers = true;
+	}
+
 	/**
 	 * Transfers the records of `parts`, of `count` parts in all, to the daemon at
 	 * `address`; true once it has stored them all. No key of these parts may be granted
@@ -54,4 +68,13 @@
 
 		return true;
 	}
+
+	#keep(records: readonly KeyRecord[]): boolean {
+		if (this.#refusesTransfers || !this.records.addAll(records)) {
+			return false;
+		}
+
+		this.#transferredAt = this.clock.now();
+		return true;
+	}
 }
--- a/packages/daemon/src/requests/keys/key-table-task.ts
+++ b/packages/daemon/src/requests/keys/key-table-task.ts
@@ -44,6 +44,8 @@
  */
 const giveUpMs: Millis = 1200;
 const transferRetryMs: Millis = 50;
+/** Longer than another daemon takes to give up parts whose records it has transferred here. */
+const arrivalMs: Millis = 1000;
 
 @singleton()
 export class KeyTableTask extends Task {
@@ -93,6 +95,7 @@
 	override async stop(): Promise<void> {
 		this.#cancel?.();
 		this.#unsubscribe?.();
+		this.kept.refuseTransfers();
 		const until = this.clock.now() + transferMs;
 		const cancelBorrowing = this.clock.repeat(tickMs, () => {
 			if (this.table && until - this.clock.now() > giveUpMs) {
@@ -136,8 +139,8 @@
 	}
 
 	/**
-	 * Transfers every part, so that a planned stop loses no record. Without the store or
-	 * another daemon, nothing can be transferred.
+	 * Transfers every part, also those that are still on their way here, so that a planned
+	 * stop loses no record. Without the store or another daemon, nothing can be transferred.
 	 */
 	async #transferAll(until: Millis): Promise<void> {
 		while (this.clock.now() < until) {
@@ -145,12 +148,14 @@
 			const context = this.#contextAfterStop();
 			const mayWrite = this.config.store.value.up && context.members.length > 0;
 			const holds = table?.rows.some(({holder}) => holder === this.self.id);
-			if (!table || !holds || !mayWrite) {
+			const expectsParts =
+				this.clock.now() - this.kept.transferredAt < arrivalMs;
+			if (!table || !mayWrite || (!holds && !expectsParts)) {
 				return;
 			}
 
 			const keepsUntransferred = until - this.clock.now() > giveUpMs;
-			if (!this.#writing) {
+			if (holds && !this.#writing) {
 				await this.#plan(table, context, keepsUntransferred);
 			}
 
@@ -213,12 +218,13 @@
 
 	/**
 	 * Plans and writes the next table. With `keepsUntransferred`, parts whose next holder
-	 * has not taken their records stay here for now.
+	 * has not taken their records stay here, and are not moved again until the members
+	 * are settled anew.
 	 */
 	async #plan(
 		table: KeyTable,
 		context: KeyPlanContext,
-		keepsUntransferred = false,
+		keepsUntransferred = true,
 	): Promise<void> {
 		const version = this.config.view.value.versionOf('key-table', keyTableName);
 		await this.gone.list(table);
@@ -228,6 +234,12 @@
 		}
 
 		const transferred = await this.#transferRecords(table, planned);
+		if (
+			transferred.size < partCount(partsGivenUp(table, planned, this.self.id))
+		) {
+			this.#membersSince = this.clock.now();
+		}
+
 		const next = withTransferredRecords(
 			table,
 			keepsUntransferred
@@ -322,6 +334,10 @@
 	return parts.map(({part, term}) => ({part: part ?? 0, term: term ?? 0}));
 }
 
+function partCount(parts: ReadonlyMap<string, readonly number[]>): number {
+	return [...parts.values()].flat().length;
+}
+
 function changedRows(from: KeyTable, to: KeyTable): number {
 	return to.rows.filter((row, part) => row !== from.rows[part]).length;
 }
--- a/packages/daemon/test/key-keepers.ts
+++ b/packages/daemon/test/key-keepers.ts
@@ -121,9 +121,12 @@
 	}
 }
 
-/** Delivers calls between daemons in one process; the next `lostHandOns` hand-on calls get no answer. */
+/** Delivers calls between daemons in one process. */
 class MemoryNetwork {
+	/** How many of the next transfers of records are lost. */
 	lostHandOns = 0;
+	/** Called once a daemon has taken records, before the sender knows. */
+	onHandOn: ((address: string) => void) | undefined;
 	readonly #handlers = new Map<string, unknown>();
 
 	serve<Q, A>(address: string, {path}: Rpc<Q, A>, handler: Handler<Q, A>) {
@@ -138,10 +141,18 @@
 		await nextTurn();
 		const handler = this.#handlers.get(`${address} ${path}`) as
 			Handler<Q, A> | undefined;
-		const isLost = path === handOn.path && this.lostHandOns-- > 0;
-		return handler && !isLost
-			? Right(await handler(question))
-			: Left({kind: 'unreachable', message: 'no answer'});
+		const isHandOn = path === handOn.path;
+		const isLost = isHandOn && this.lostHandOns-- > 0;
+		if (!handler || isLost) {
+			return Left({kind: 'unreachable', message: 'no answer'});
+		}
+
+		const answer = await handler(question);
+		if (isHandOn) {
+			this.onHandOn?.(address);
+		}
+
+		return Right(answer);
 	}
 }
 
@@ -196,7 +207,7 @@
 		const common = new CommonSettingsTask(config, store, settings, clock, log);
 		this.member = self.member();
 		this.config = config;
-		this.kept = new KeptKeys(mesh, settings);
+		this.kept = new KeptKeys(mesh, settings, clock);
 		this.keyTable = new KeyTableTask(
 			store,
 			mesh,
@@ -232,10 +243,14 @@
 	readonly wires: MemoryNetwork;
 };
 
-/** Starts `count` daemons, each in its own failure domain, and waits until they hold their key parts and may grant. */
+/**
+ * Makes `count` daemons, each in its own failure domain, starts the first `started`, and
+ * waits until these hold their key parts and may grant.
+ */
 export async function startDaemons(
 	count: number,
 	settledMs: Millis,
+	started = count,
 ): Promise<TestDaemons> {
 	const clock = new ManualClock();
 	const store = new KeyTableStore();
@@ -244,8 +259,9 @@
 		{length: count},
 		(_, index) => new TestDaemon(index, store, wires, clock),
 	);
-	for (const daemon of daemons) {
-		daemon.setMembers(daemons.map(({member}) => member));
+	const first = daemons.slice(0, started);
+	for (const daemon of first) {
+		daemon.setMembers(first.map(({member}) => member));
 		await daemon.keyTable.start();
 	}
 
