Let a suspect of a crash wait for servers in use, not for ejected ones

Cause: lookups that were in flight at a crash run apart from each other, one a server. While each server in use had one of them, the servers left over were those that had crashed, ejected for 2 s; a suspect was queued for these alone. Two seconds later it was sent to a dead server, was sent on from there, and the next suspects waited for the next ejection, though servers in use were free after 0.3 s. With 13 suspects on three servers the last were refused 504 deadline after 5 s. Traced from the logs of two failed runs of "a lookup that crashes servers ...": queuedMs=1934 before backendServer=kaha-1 and kaha-4, the crashed ones.

Change: the candidates of an attempt are chosen in core (attempt-candidates.ts): ejected servers count only if all are ejected. The same for other retries: a tried server in use goes before an untried one that is ejected.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -171,6 +171,10 @@
 	type AnswerVerdict,
 } from './requests/answer-head.js';
 export {deadlineField, deadlineOf} from './requests/deadline.js';
+export {
+	attemptCandidates,
+	type AttemptConditions,
+} from './requests/attempt-candidates.js';
 export {preferUntried} from './requests/untried.js';
 export {
 	keyPartCount,
--- a/packages/daemon/src/balance/balance-task.ts
+++ b/packages/daemon/src/balance/balance-task.ts
@@ -166,6 +166,11 @@
 		);
 	}
 
+	/** Servers of the service that get no requests for a while after failures. */
+	ejected(service: string): readonly string[] {
+		return this.#service(service).gauges.ejected(this.clock.now());
+	}
+
 	/** Connections that this daemon may have to each server of the service. */
 	connections(service: string): number {
 		return this.#subsets.get(service)?.connectionsEach ?? 1;
--- a/packages/daemon/src/requests/choice.ts
+++ b/packages/daemon/src/requests/choice.ts
@@ -4,7 +4,7 @@
  * leaves the choice among the rest to balancing.
  */
 import {
-	preferUntried,
+	attemptCandidates,
 	type BackendServer,
 	type Millis,
 	type Refusal,
@@ -28,8 +28,8 @@
 const isolationRetryMs: Millis = 1000;
 
 /**
- * No server now; `isolated` if every candidate has another suspect of a crash in
- * flight, which may end soon.
+ * No server now; `isolated` if every server that could be used has another suspect of a
+ * crash in flight, which may end soon.
  */
 export type NoChoice = Refusal & {readonly isolated: boolean};
 
@@ -51,8 +51,12 @@
 	/** The server for one attempt, possibly after a short wait in balancing's queue. */
 	async pick(options: PickOptions): Promise<Either<NoChoice, PickedServer>> {
 		const {route, fingerprint, customer, weight, deadline, tried} = options;
-		const preferred = preferUntried(route.candidates, tried);
-		const candidates = this.quarantine.allowedServers(fingerprint, preferred);
+		const keyed = route.slice !== undefined;
+		const candidates = attemptCandidates(route.candidates, {
+			tried,
+			ejected: keyed ? [] : this.balance.ejected(route.service.service),
+			isAllowed: (server) => this.quarantine.mayGoTo(fingerprint, server),
+		});
 		if (candidates.length === 0) {
 			return Left(noIsolatedServer);
 		}
@@ -60,7 +64,7 @@
 		const picked = await this.balance.pick({
 			service: route.service,
 			candidates,
-			keyed: route.slice !== undefined,
+			keyed,
 			customer,
 			weight,
 			deadlineAt: deadline,
@@ -80,7 +84,7 @@
 		pick: PickedServer,
 	): Either<NoChoice, PickedServer> {
 		const {server} = pick;
-		if (this.quarantine.allowedServers(fingerprint, [server]).length === 0) {
+		if (!this.quarantine.mayGoTo(fingerprint, server)) {
 			pick.done({kind: 'cancelled', latencyMs: 0});
 			return Left(noIsolatedServer);
 		}
--- a/packages/daemon/src/requests/quarantine/quarantine-task.ts
+++ b/packages/daemon/src/requests/quarantine/quarantine-task.ts
@@ -110,23 +110,18 @@
 	}
 
 	/**
-	 * The candidates that the request may go to. For a suspect, these are the servers to
-	 * which this daemon has no other suspect in flight.
+	 * Whether the request may go to the server: a suspect may not go where this daemon has
+	 * another suspect in flight.
 	 */
-	allowedServers(
-		fingerprint: string,
-		candidates: readonly BackendServer[],
-	): readonly BackendServer[] {
+	mayGoTo(fingerprint: string, {backendServer}: BackendServer): boolean {
 		if (!this.isSuspected(fingerprint)) {
-			return candidates;
+			return true;
 		}
 
-		return candidates.filter(({backendServer}) => {
-			const others = this.#inFlight.get(backendServer);
-			return [...(others?.keys() ?? [])].every(
-				(other) => other === fingerprint,
-			);
-		});
+		const suspects = this.#inFlight.get(backendServer);
+		return [...(suspects?.keys() ?? [])].every(
+			(other) => other === fingerprint,
+		);
 	}
 
 	/** Whether the request was in flight at a crash and not answered since. */
