Ask the servers of a failure domain that is back each time, and log how long a server is still cold

Cause: a server was suspected of being cold once in 3 s at most. That bounds the checks of a server that resets connections again and again; but a failure domain that was out of service and back twice within 3 s had its servers asked only the first time. And the log line of a request refused as cold gave the entry's cold time, 0 where only the server's own answer said that it was cold.

Change: a server back from a time without requests is asked whatever it answered before. The line gives the time left by the entry or the answer.

Test: server-warmth.test.ts, "a server that returns twice in a short time ...", failed before.

--- a/packages/core/src/gateway/server-warmth.ts
+++ b/packages/core/src/gateway/server-warmth.ts
@@ -92,6 +92,14 @@
 		}
 	}
 
+	/**
+	 * Records that the server is back from a time without requests, and may be cold for
+	 * that, whatever it answered before; it is asked as after `suspect`.
+	 */
+	returned(server: ServerRun, now: Millis): void {
+		this.#set(server, {suspectAt: now, warmAt: -Infinity});
+	}
+
 	/** Records the server's answer to a check: for how much longer it is cold. */
 	answered(server: ServerRun, coldMs: Millis, now: Millis): void {
 		this.#set(
@@ -126,6 +134,14 @@
 		return now - unansweredAt < unansweredMs ? 'cold' : 'unknown';
 	}
 
+	/** For how much longer the server is cold by its entry or its own answer; 0 if by neither. */
+	coldLeftMs(server: ServerRun, now: Millis): Millis {
+		const {entryAt, entryColdMs, coldUntil} = this.#belief(server);
+		const coldByEntryUntil =
+			entryColdMs > 0 ? entryAt + entryColdMs : -Infinity;
+		return Math.max(0, coldByEntryUntil - now, coldUntil - now);
+	}
+
 	#belief(server: ServerRun): Belief {
 		return this.#beliefs.get(runKeyOf(server)) ?? initialBelief;
 	}
--- a/packages/core/test/gateway/server-warmth.test.ts
+++ b/packages/core/test/gateway/server-warmth.test.ts
@@ -82,3 +82,26 @@
 	warmth.update([warm], 30);
 	t.is(warmth.of(warm, true, 40), 'warm');
 });
+
+test('a server that returns twice in a short time has to be asked each time, whatever it answered before', (t) => {
+	const warmth = listed(warm);
+	warmth.returned(warm, 1000);
+	t.is(warmth.of(warm, true, 1000), 'unknown');
+	warmth.answered(warm, 0, 1010);
+	t.is(warmth.of(warm, true, 1020), 'warm');
+	warmth.returned(warm, 1050);
+	t.is(warmth.of(warm, true, 1050), 'unknown');
+	t.is(warmth.of(warm, false, 1050), 'unknown');
+	warmth.answered(warm, 2500, 1060);
+	t.is(warmth.of(warm, true, 2000), 'cold');
+});
+
+test('the time for which a server is still cold is the longer of its entry and its answer', (t) => {
+	const warmth = listed(cold);
+	t.is(warmth.coldLeftMs(cold, 0), 3000);
+	t.is(warmth.coldLeftMs(cold, 2000), 1000);
+	warmth.answered(cold, 2500, 2000);
+	t.is(warmth.coldLeftMs(cold, 2000), 2500);
+	t.is(warmth.coldLeftMs(cold, 5000), 0);
+	t.is(listed(warm).coldLeftMs(warm, 0), 0);
+});
--- a/packages/daemon/src/gateway/server-picks.ts
+++ b/packages/daemon/src/gateway/server-picks.ts
@@ -178,16 +178,16 @@
 		const now = this.clock.now();
 		const loads = candidates.map((server) => this.loads.load(server, now));
 		const load = Math.min(...loads);
-		const {backendServer, coldMs} = candidates[loads.indexOf(load)];
+		const leastLoaded = candidates[loads.indexOf(load)];
 		return {
 			reason,
 			notRun: true,
 			retryAfterMs: overloadedRetryMs,
 			full: {
-				backendServer,
+				backendServer: leastLoaded.backendServer,
 				load: load.toFixed(2),
 				maxLoad,
-				coldMs,
+				coldMs: Math.round(this.warmth.coldLeftMs(leastLoaded)),
 				candidates: candidates.length,
 			},
 		};
--- a/packages/daemon/src/gateway/warmth-checks.ts
+++ b/packages/daemon/src/gateway/warmth-checks.ts
@@ -52,6 +52,11 @@
 			: this.#warmth.of(server, this.view.isServersCurrent, this.clock.now());
 	}
 
+	/** For how much longer the server is believed to be cold; 0 if it is not. */
+	coldLeftMs(server: ListedServer): Millis {
+		return this.#warmth.coldLeftMs(server, this.clock.now());
+	}
+
 	/** Asks the server whether it is cold. Resolves once it has answered, or has not answered in time. */
 	async check(service: RoutedService, server: ListedServer): Promise<void> {
 		const run = runKeyOf(server);
@@ -122,7 +127,7 @@
 		for (const server of servers) {
 			const {failureDomain} = server;
 			if (formerlyOut.has(failureDomain) && !domainsOut.has(failureDomain)) {
-				this.#warmth.suspect(server, this.clock.now());
+				this.#warmth.returned(server, this.clock.now());
 			}
 		}
 	}
