Have a test of slow servers wait for the slow one, not for any

Cause: "two daemons that find a server slow without a word ..." waited until each daemon had ramped some server.

Change: the test waits for the ramp of the slow server, and for its end.

--- a/packages/fakes/test/policy.test.ts
+++ b/packages/fakes/test/policy.test.ts
@@ -195,8 +195,11 @@
 		const load = {customer: 'steady', ratePerSecond: 200, ms: 3000};
 		await sendLoad(daemons, load);
 		await setServerFaults(servers[0], {workMs: slowMs});
+		const {name} = servers[0];
 		const ramping = daemons.map(async ({child}) =>
-			child.line('event=server-ramping'),
+			child.line(
+				`event=server-ramping service=kaha backendServer=${name} cause=looks-cold`,
+			),
 		);
 		// At this rate it takes a while to gather enough evidence, so this load continues throughout.
 		const twoDaemonLoad = sendLoad(daemons.slice(0, 2), {...load, ms: 20_000});
@@ -212,7 +215,7 @@
 		t.true(max <= coldSlots, `${max} in flight`);
 		t.true(after.length > before.length);
 		const ramped = daemons.map(async ({child}) =>
-			child.line('event=server-ramped'),
+			child.line(`event=server-ramped service=kaha backendServer=${name}`),
 		);
 		await setServerFaults(servers[0], {workMs: 10});
 		await Promise.all(ramped);
