--- /dev/null
+++ b/review/stand-ins/backend.js
@@ -0,0 +1,304 @@
+/**
+ * A stand-in backend server. It runs requests in a bounded number of slots and queues a
+ * few more, takes grants of keys, registers itself in the store and reports there.
+ */
+import {randomBytes} from 'node:crypto';
+import {createServer} from 'node:http';
+
+const heartbeatMs = 870;
+const idleMs = 10_000;
+const handshakeMs = 1;
+
+export class Backend {
+	#server;
+	#port;
+	#sockets = new Set();
+	#running = 0;
+	#queue = [];
+	#held = [];
+	#seq = 0;
+	#state = 'ready';
+	#timer;
+
+	/**
+	 * `options`: `name`, `service`, `zone`, `slots`, `queueLen`, `maxConns`, `keyed`, and
+	 * `workMs`, a function of the request. `observer.seen(event, fields)` gets each arrival
+	 * and run.
+	 */
+	constructor(options, store, observer) {
+		this.options = {
+			zone: 'a',
+			slots: 6,
+			queueLen: 12,
+			maxConns: 130,
+			coldMs: 0,
+			...options,
+		};
+		this.store = store;
+		this.observer = observer;
+	}
+
+	get name() {
+		return this.options.name;
+	}
+
+	get port() {
+		return this.#port;
+	}
+
+	/** Requests that run or wait here. */
+	get inFlight() {
+		return this.#running + this.#queue.length;
+	}
+
+	/** Listens and registers. */
+	async start(port = 0) {
+		this.born = Date.now();
+		this.coldUntil = performance.now() + this.options.coldMs;
+		this.#server = createServer({keepAliveTimeout: idleMs}, (req, res) => {
+			this.#answer(req, res);
+		});
+		this.#server.on('connection', (socket) => {
+			this.#sockets.add(socket);
+			socket.once('close', () => this.#sockets.delete(socket));
+			if (this.#sockets.size > this.options.maxConns) {
+				socket.resetAndDestroy();
+			}
+		});
+		await new Promise((resolve) => {
+			this.#server.listen(port, '127.0.0.1', resolve);
+		});
+		this.#port = this.#server.address().port;
+		this.report();
+		this.#timer = setInterval(() => {
+			this.report();
+		}, heartbeatMs);
+	}
+
+	/** Writes the entry in the store. */
+	report() {
+		const {name, service, zone, slots} = this.options;
+		this.#seq++;
+		const coldLeftMs = Math.max(0, this.coldUntil - performance.now());
+		this.store.put('servers', name, {
+			addr: `127.0.0.1:${this.#port}`,
+			born: this.born,
+			info: {service, version: 'v1', zone, slots},
+			status: {
+				state: this.#state,
+				seq: this.#seq,
+				coldLeftMs: Math.round(coldLeftMs),
+			},
+		});
+	}
+
+	/** Reports that it is leaving. It serves until `stop`. */
+	drain() {
+		this.#state = 'draining';
+		this.report();
+	}
+
+	/** Ends at once and resets its connections; its entry stays until `forget`. */
+	crash() {
+		clearInterval(this.#timer);
+		this.#server.close();
+		for (const socket of this.#sockets) {
+			socket.resetAndDestroy();
+		}
+	}
+
+	/** Removes its entry from the store. */
+	forget() {
+		this.store.remove('servers', this.name);
+	}
+
+	stop() {
+		this.forget();
+		this.crash();
+	}
+
+	async #answer(req, res) {
+		const id = req.headers['x-kingcuproute-request-id'];
+		const expected = req.headers['x-kingcuproute-expect-instance'];
+		const {healthPath = '/health'} = this.options;
+		if (req.url === healthPath) {
+			this.#sendHealth(res);
+			return;
+		}
+
+		if (expected !== undefined && expected !== this.name) {
+			this.#decline(res, 421, id);
+			return;
+		}
+
+		if (req.url.startsWith('/kingcuproute/')) {
+			await this.#order(req, res);
+			return;
+		}
+
+		if (id === undefined) {
+			this.#decline(res, 400, id);
+			return;
+		}
+
+		await this.#serve(req, res, id);
+	}
+
+	async #serve(req, res, id) {
+		const key = Number(req.headers['x-kingcuproute-shard-key']);
+		const arrivedAt = performance.now();
+		const deadlineAt =
+			arrivedAt + Number(req.headers['x-kingcuproute-deadline-ms'] ?? Infinity);
+		const fields = {id, server: this.name, path: req.url};
+		if (this.options.keyed && !this.#holds(key)) {
+			this.observer.seen('misdirected', fields);
+			this.#decline(res, 421, id);
+			return;
+		}
+
+		this.observer.seen('arrived', fields);
+		if (!(await this.#enter(res, deadlineAt))) {
+			this.observer.seen('declined', fields);
+			this.#decline(res, 503, id);
+			return;
+		}
+
+		this.observer.seen('ran', fields);
+		const parts = await req.toArray();
+		const workMs = this.options.workMs?.(req, parts) ?? 20;
+		await sleepUnless(res, Math.min(workMs, deadlineAt - performance.now()));
+		this.#leave();
+		if (res.destroyed) {
+			this.observer.seen('cancelled', fields);
+			return;
+		}
+
+		const status = performance.now() >= deadlineAt ? 504 : 200;
+		res.writeHead(status, this.#answerFields(id));
+		res.end(`${this.name} ran ${id}`);
+	}
+
+	/** Takes a slot, or waits for one; false if the request can't run. */
+	async #enter(res, deadlineAt) {
+		const {slots, queueLen} = this.options;
+		if (this.#running < slots) {
+			this.#running++;
+			return true;
+		}
+
+		if (this.#queue.length >= queueLen) {
+			return false;
+		}
+
+		await new Promise((resolve) => {
+			this.#queue.push(resolve);
+		});
+		if (res.destroyed || performance.now() >= deadlineAt) {
+			this.#leave();
+			return false;
+		}
+
+		return true;
+	}
+
+	/** Frees a slot, or passes it on to the next request that waits. */
+	#leave() {
+		const next = this.#queue.shift();
+		if (next) {
+			next();
+		} else {
+			this.#running--;
+		}
+	}
+
+	#answerFields(id) {
+		const {slots} = this.options;
+		return {
+			...(id !== undefined && {'x-kingcuproute-request-id': id}),
+			'x-kingcuproute-server-stamp': randomBytes(8).toString('hex'),
+			'x-kingcuproute-server-load': `${this.#running},${this.#queue.length},${slots}`,
+		};
+	}
+
+	#decline(res, status, id) {
+		if (!res.destroyed) {
+			res.writeHead(status, {
+				...this.#answerFields(id),
+				'x-kingcuproute-not-executed': '1',
+				'x-kingcuproute-instance-id': this.name,
+			});
+			res.end();
+		}
+	}
+
+	#sendHealth(res) {
+		const coldMs = Math.max(0, Math.round(this.coldUntil - performance.now()));
+		res.writeHead(this.#state === 'ready' ? 200 : 503, {
+			'x-kingcuproute-instance-id': this.name,
+			'x-kingcuproute-cold-ms': String(coldMs),
+			'x-kingcuproute-server-load':
+				this.#answerFields()['x-kingcuproute-server-load'],
+		});
+		res.end();
+	}
+
+	#holds(key) {
+		const now = performance.now();
+		return this.#held.some(
+			({from, to, until}) => from <= key && key <= to && now < until,
+		);
+	}
+
+	async #order(req, res) {
+		const parts = await req.toArray();
+		const {from, target: to, fence, holdMs} = JSON.parse(parts.join(''));
+		const overlaps = this.#held.filter(
+			(other) => other.from <= to && from <= other.to,
+		);
+		const others = this.#held.filter((other) => !overlaps.includes(other));
+		if (req.url.endsWith('/release')) {
+			this.#held = [
+				...others,
+				...overlaps.flatMap((held) => withoutKeys(held, from, to)),
+			];
+			res.writeHead(200, {
+				'x-kingcuproute-handover': randomBytes(8).toString('hex'),
+			});
+			res.end();
+			return;
+		}
+
+		if (overlaps.some((held) => held.fence > fence)) {
+			res.writeHead(409);
+			res.end();
+			return;
+		}
+
+		const until = performance.now() + holdMs;
+		this.#held = [
+			...others,
+			...overlaps.flatMap((held) => withoutKeys(held, from, to)),
+			{from, to, fence, until},
+		];
+		res.writeHead(200);
+		res.end();
+	}
+}
+
+function withoutKeys(held, from, to) {
+	return [
+		{...held, to: from - 1},
+		{...held, from: to + 1},
+	].filter((part) => part.from <= part.to);
+}
+
+/** Sleeps, but not longer than the response's connection lasts. */
+async function sleepUnless(res, ms) {
+	await new Promise((resolve) => {
+		const timer = setTimeout(resolve, Math.max(0, ms) + handshakeMs);
+		res.once('close', () => {
+			clearTimeout(timer);
+			resolve();
+		});
+	});
+}
