--- a/review/stand-ins/backend.js
+++ b/review/stand-ins/backend.js
@@ -17,6 +17,7 @@
 	#queue = [];
 	#held = [];
 	#seq = 0;
+	#reported;
 	#state = 'ready';
 	#timer;
 
@@ -75,11 +76,17 @@
 		}, heartbeatMs);
 	}
 
-	/** Writes the entry in the store. */
+	/** Writes the entry in the store if more than its sequence number has changed. */
 	report() {
 		const {name, service, zone, slots} = this.options;
 		this.#seq++;
 		const coldLeftMs = Math.max(0, this.coldUntil - performance.now());
+		const content = `${this.#state} ${Math.round(coldLeftMs)}`;
+		if (content === this.#reported) {
+			return;
+		}
+
+		this.#reported = content;
 		this.store.put('servers', name, {
 			addr: `127.0.0.1:${this.#port}`,
 			born: this.born,
--- a/review/stand-ins/fleet.js
+++ b/review/stand-ins/fleet.js
@@ -56,7 +56,7 @@
 	async #spawn(index, storeAddress) {
 		const [front, ready, control] = await freePorts(3);
 		const name = `front-${index}`;
-		const zone = 'abcd'[index - 1];
+		const zone = 'abcd'[(index - 1) % 4];
 		const file = path.join(this.#folder, `${name}.conf`);
 		writeFileSync(
 			file,
