--- a/review/stand-ins/backend.js
+++ b/review/stand-ins/backend.js
@@ -15,7 +15,14 @@
 	#sockets = new Set();
 	#running = 0;
 	#queue = [];
+	/** The leases on keys. */
 	#held = [];
+	/** The leases that were released, under which work may still run. */
+	#released = [];
+	/** The grants seen lately. */
+	#seen = [];
+	/** The work under way. */
+	#works = new Set();
 	#seq = 0;
 	#reported;
 	#state = 'ready';
@@ -171,20 +178,59 @@
 		}
 
 		this.observer.seen('ran', fields);
-		const parts = await req.toArray();
-		const workMs = this.options.workMs?.(req, parts) ?? 20;
-		await sleepUnless(res, Math.min(workMs, deadlineAt - performance.now()));
+		const work = {key, ended: undefined};
+		const ended = this.#work(req, res, {key, deadlineAt});
+		work.ended = ended;
+		this.#works.add(work);
+		const status = await ended;
+		this.#works.delete(work);
 		this.#leave();
-		if (res.destroyed) {
+		if (status === undefined) {
 			this.observer.seen('cancelled', fields);
 			return;
 		}
 
-		const status = performance.now() >= deadlineAt ? 504 : 200;
+		this.observer.seen('ended', {...fields, status});
 		res.writeHead(status, this.#answerFields(id));
 		res.end(`${this.name} ran ${id}`);
 	}
 
+	/** Works on a request; resolves with the status of the answer, undefined if the connection has closed. */
+	async #work(req, res, {key, deadlineAt}) {
+		const parts = await req.toArray();
+		const workMs = this.options.workMs?.(req, parts) ?? 20;
+		const doneAt = performance.now() + workMs;
+		for (;;) {
+			const now = performance.now();
+			const leaseAt = this.options.keyed ? this.#leaseEnd(key) : Infinity;
+			if (res.destroyed) {
+				return undefined;
+			}
+
+			if (now >= doneAt) {
+				return 200;
+			}
+
+			if (now >= deadlineAt) {
+				return 504;
+			}
+
+			if (now >= leaseAt) {
+				return 500;
+			}
+
+			await sleepUnless(res, Math.min(doneAt, deadlineAt, leaseAt) - now);
+		}
+	}
+
+	/** When the lease ends under which work on the key runs; a release lets work go on. */
+	#leaseEnd(key) {
+		const leases = [...this.#held, ...this.#released].filter(
+			({from, to}) => from <= key && key <= to,
+		);
+		return Math.max(-Infinity, ...leases.map(({until}) => until));
+	}
+
 	/** Takes a slot, or waits for one; false if the request can't run. */
 	async #enter(res, deadlineAt) {
 		const {slots, queueLen} = this.options;
@@ -249,6 +295,11 @@
 		res.end();
 	}
 
+	/** A key that the server holds now; undefined if there is none. */
+	heldKey() {
+		return this.#held.find(({until}) => performance.now() < until)?.from;
+	}
+
 	#holds(key) {
 		const now = performance.now();
 		return this.#held.some(
@@ -256,6 +307,14 @@
 		);
 	}
 
+	/** The highest generation number seen on one of the keys. */
+	#highestFence(from, to) {
+		const fences = this.#seen
+			.filter((other) => other.from <= to && from <= other.to)
+			.map(({fence}) => fence);
+		return Math.max(0, ...fences);
+	}
+
 	async #order(req, res) {
 		const parts = await req.toArray();
 		const {from, target: to, fence, holdMs} = JSON.parse(parts.join(''));
@@ -268,6 +327,14 @@
 				...others,
 				...overlaps.flatMap((held) => withoutKeys(held, from, to)),
 			];
+			const works = [...this.#works].filter(
+				({key}) => from <= key && key <= to,
+			);
+			this.#released = [
+				...this.#released.filter(({until}) => performance.now() < until),
+				...overlaps,
+			];
+			await Promise.all(works.map(({ended}) => ended));
 			res.writeHead(200, {
 				'x-kingcuproute-handover': randomBytes(8).toString('hex'),
 			});
@@ -275,12 +342,13 @@
 			return;
 		}
 
-		if (overlaps.some((held) => held.fence > fence)) {
+		if (this.#highestFence(from, to) > fence) {
 			res.writeHead(409);
 			res.end();
 			return;
 		}
 
+		this.#seen = [...this.#seen.slice(-999), {from, to, fence}];
 		const until = performance.now() + holdMs;
 		this.#held = [
 			...others,
