--- a/review/stand-ins/backend.js
+++ b/review/stand-ins/backend.js
@@ -112,6 +112,12 @@
 		this.report();
 	}
 
+	/** Leaves without a report: its entry is removed, and it serves until `crash`. */
+	leaveUnannounced() {
+		clearInterval(this.#timer);
+		this.forget();
+	}
+
 	/** Ends at once and resets its connections; its entry stays until `forget`. */
 	crash() {
 		clearInterval(this.#timer);
