--- a/review/2/run.js
+++ b/review/2/run.js
@@ -10,7 +10,9 @@
 import {Link} from '../stand-ins/link.js';
 
 const daemonCount = 11;
-const backendCount = 3;
+/** Each round has a server that leaves. */
+const rounds = 3;
+const backendCount = 5;
 const workMs = 100;
 const allowedMs = 1500;
 const sendEveryMs = 8;
@@ -18,6 +20,8 @@
 const settleMs = 2000;
 /** From the silence to the report: longer than `contactMs`, so that all daemons are in touch. */
 const drainAfterMs = bounds.contactMs + 200;
+/** Before each round. */
+const betweenMs = 2000;
 /** How long the leaving server goes on serving after its report. */
 const leaveMs = 4000;
 
@@ -50,7 +54,8 @@
 const test = new Case(import.meta.url);
 const {record, store, fleet, backends} = test;
 const link = new Link();
-let drainedAt = Infinity;
+/** When each server that leaves reported it, by index. */
+const drainedAt = new Map();
 let lateCount = 0;
 let lastMs = 0;
 
@@ -59,17 +64,19 @@
 		{
 			name: `i-${index}`,
 			service: 'bookings',
-			zone: 'abc'[index],
+			zone: 'abc'[index % 3],
 			workMs: () => workMs,
 		},
 		store,
 		{
 			seen(event, fields) {
 				record.add(event, fields);
-				const sinceMs = Math.round(record.now() - drainedAt);
-				if (event === 'arrived' && index === 0 && sinceMs > bounds.drainMs) {
+				const sinceMs = Math.round(
+					record.now() - (drainedAt.get(index) ?? Infinity),
+				);
+				if (event === 'arrived' && sinceMs > bounds.drainMs) {
 					lateCount++;
-					lastMs = sinceMs;
+					lastMs = Math.max(lastMs, sinceMs);
 					record.add('late', {id: fields.id, sinceMs});
 				}
 			},
@@ -104,19 +111,24 @@
 	await fleet.start(daemonCount, await link.start(await store.start()));
 	await sleep(settleMs);
 	const sending = sendAll();
-	await sleep(2000);
-	if (test.hasTrouble) {
-		record.add('silenced', {connections: link.silence()});
+	await sleep(betweenMs);
+	const servers = [...backends];
+	for (let round = 0; round < rounds; round++) {
+		const leaving = servers[round];
+		if (test.hasTrouble) {
+			record.add('silenced', {connections: link.silence()});
+		}
+
+		await sleep(drainAfterMs);
+		leaving.drain();
+		drainedAt.set(round, record.now());
+		record.add('draining', {server: leaving.name});
+		await sleep(leaveMs);
+		backends.delete(leaving);
+		leaving.stop();
+		await sleep(betweenMs);
 	}
 
-	await sleep(drainAfterMs);
-	const [leaving] = backends;
-	leaving.drain();
-	drainedAt = record.now();
-	record.add('draining', {server: leaving.name});
-	await sleep(leaveMs);
-	backends.delete(leaving);
-	leaving.stop();
 	test.isOver = true;
 	await sending;
 	link.stop();
--- a/review/stand-ins/backend.js
+++ b/review/stand-ins/backend.js
@@ -112,6 +112,16 @@
 		this.report();
 	}
 
+	/** Becomes cold again, and reports so. */
+	becomeCold(coldMs) {
+		this.coldUntil = performance.now() + coldMs;
+		this.report();
+	}
+
+	get isCold() {
+		return performance.now() < this.coldUntil;
+	}
+
 	/** Leaves without a report: its entry is removed, and it serves until `crash`. */
 	leaveUnannounced() {
 		clearInterval(this.#timer);
