Refuse the requests that wait in a stopping daemon

Cause: whether a request can still end before the process does was decided once, when it had been read. The waits behind that knew only the request's own time limit.

Change: each attempt asks again. Once the load balancer has had time to notice the stop, every exchange whose request waits and could be cut is refused at once (503, not run, Retry-After 0); an attempt that waits for a connection is withdrawn and never sent. What a server has goes on. The refusal comes from outside the waits, so one that is added later is covered too.

--- a/packages/daemon/src/gateway/gateway-attempt.ts
+++ b/packages/daemon/src/gateway/gateway-attempt.ts
@@ -64,6 +64,16 @@
 		});
 	}
 
+	/** Whether the server has the request, or is about to get it. */
+	get isAtServer(): boolean {
+		return this.#attempt?.isAtServer ?? false;
+	}
+
+	/** Ends the attempt if it still waits for a connection. */
+	withdraw(): void {
+		this.#attempt?.withdraw();
+	}
+
 	/** Cancels the attempt; the server sees its connection close. */
 	cancel(): void {
 		this.#attempt?.cancel();
--- a/packages/daemon/src/gateway/gateway-entry-task.ts
+++ b/packages/daemon/src/gateway/gateway-entry-task.ts
@@ -59,6 +59,7 @@
 	readonly #entry: Server;
 	readonly #readiness: Server;
 	readonly #context: ExchangeContext;
+	readonly #exchanges = new Set<GatewayExchange>();
 	#inFlight = 0;
 	#stopPlan: StopPlan | undefined;
 
@@ -149,6 +150,12 @@
 		const endsAt = now + this.deployment.bounds.stopMs - exitMs;
 		this.#stopPlan = {noticedBy: now + noticeMs, endsAt};
 		await this.clock.sleep(noticeMs);
+		// A timer may fire a little early.
+		this.#stopPlan = {noticedBy: this.clock.now(), endsAt};
+		for (const exchange of this.#exchanges) {
+			exchange.refuseIfWaiting();
+		}
+
 		this.#entry.close();
 		this.#entry.closeIdleConnections();
 		while (this.#inFlight > 0 && this.clock.now() < endsAt) {
@@ -170,12 +177,16 @@
 		res: ServerResponse,
 		turn: Turn,
 	): Promise<void> {
+		const exchange = new GatewayExchange(this.#context, {req, res, turn});
+		this.#exchanges.add(exchange);
 		try {
-			await new GatewayExchange(this.#context, {req, res, turn}).run();
+			await exchange.run();
 		} catch (error) {
 			const {message, stack} = error as Error;
 			this.log.error('exchange-failed', {message, stack});
 			sendEnd(res, {reason: 'internal', notRun: false});
+		} finally {
+			this.#exchanges.delete(exchange);
 		}
 	}
 }
--- a/packages/daemon/src/gateway/gateway-exchange.ts
+++ b/packages/daemon/src/gateway/gateway-exchange.ts
@@ -53,12 +53,23 @@
 export class GatewayExchange {
 	#request: RoutedRequest | undefined;
 	#attempt: GatewayAttempt | undefined;
+	/** By when the caller needs its answer; known once the route is. */
+	#until: Millis = Infinity;
+	/** The failed attempt that the caller is told of if no other one answers. */
+	#reportedEnd: AttemptEnd | undefined;
 	#callerGone = false;
+	#isRefused = false;
+	/** Resolves if the request is refused while it waits. */
+	readonly #refused: Promise<RequestEnd>;
+	#refuse!: (end: RequestEnd) => void;
 
 	constructor(
 		private readonly context: ExchangeContext,
 		private readonly caller: CallerExchange,
 	) {
+		this.#refused = new Promise((resolve) => {
+			this.#refuse = resolve;
+		});
 		const {res, turn} = caller;
 		turn.onceEnded(() => {
 			if (!res.writableFinished) {
@@ -71,7 +82,7 @@
 	async run(): Promise<void> {
 		const arrivedAt = this.context.clock.now();
 		const id = this.#header(requestFields.requestId) ?? '';
-		const end = await this.#route(id, arrivedAt);
+		const end = await Promise.race([this.#route(id, arrivedAt), this.#refused]);
 		const {req, res} = this.caller;
 		if (!req.complete) {
 			RequestBody.drop(req);
@@ -95,6 +106,19 @@
 		sendEnd(res, end);
 	}
 
+	/**
+	 * Refuses the request if it waits in this daemon, for whatever, and could be cut by the
+	 * end of the process. A request that a server has goes on.
+	 */
+	refuseIfWaiting(): void {
+		const refusal = this.#refusalBeforeSending();
+		if (refusal && !this.#attempt?.isAtServer) {
+			this.#isRefused = true;
+			this.#attempt?.withdraw();
+			this.#refuse(this.#endWith(refusal));
+		}
+	}
+
 	async #route(id: string, arrivedAt: Millis): Promise<RequestEnd | undefined> {
 		const {view, random} = this.context;
 		const {routes, servers} = view.view.value;
@@ -139,6 +163,7 @@
 
 		const until =
 			arrivedAt + Math.min(allowedMs, rule.timeoutMs) - replyMarginMs;
+		this.#until = until;
 		const body = await this.#readBody(bodyLen);
 		if (!body) {
 			return undefined;
@@ -180,20 +205,19 @@
 	): Promise<RequestEnd | undefined> {
 		const {picks, clock, budgets, traffic, warmth} = this.context;
 		const {service, key} = request;
-		const early = this.#refusalBeforeSending(request);
-		if (early) {
-			return early;
-		}
-
 		const budget = budgets.of(service.service);
 		if (service.keyed && key !== undefined) {
 			traffic.of(service.service).record(key, clock.now());
 		}
 
 		const tried: string[] = [];
-		let reportedEnd: AttemptEnd | undefined;
 		let lastFailure: PickCriteria['lastFailure'];
-		while (!this.#callerGone) {
+		while (!this.#callerGone && !this.#isRefused) {
+			const late = this.#refusalBeforeSending();
+			if (late) {
+				return this.#endWith(late);
+			}
+
 			const picked = picks.pick({service, key, tried, lastFailure});
 			if (picked.isLeft()) {
 				const refusal = picked.extract();
@@ -201,24 +225,19 @@
 					continue;
 				}
 
-				return reportedEnd ? endAfterFailure(reportedEnd, refusal) : refusal;
+				return this.#endWith(refusal);
 			}
 
 			const choice = picked.unsafeCoerce();
 			const {server} = choice;
 			if (choice.warmth === 'unknown') {
 				await warmth.check(service, server);
-				const late = this.#refusalBeforeSending(request);
-				if (late) {
-					return reportedEnd ? endAfterFailure(reportedEnd, late) : late;
-				}
-
 				continue;
 			}
 
-			if (reportedEnd) {
+			if (this.#reportedEnd) {
 				if (!this.#mayRetry(request, server.backendServer, tried)) {
-					return endAfterFailure(reportedEnd, undefined);
+					return endAfterFailure(this.#reportedEnd, undefined);
 				}
 
 				budget.recordRetry();
@@ -236,11 +255,11 @@
 				return undefined;
 			}
 
-			reportedEnd = endToReport(reportedEnd, end);
+			this.#reportedEnd = endToReport(this.#reportedEnd, end);
 			const mayRepeat =
 				request.rule.repeatability === 'safe' || ranAfter(end) === 'not-run';
 			if (!mayRepeat || !this.#mayRetry(request, server.backendServer, tried)) {
-				return endAfterFailure(reportedEnd, undefined);
+				return endAfterFailure(this.#reportedEnd, undefined);
 			}
 
 			lastFailure = {by: server.backendServer, at: clock.now()};
@@ -249,9 +268,17 @@
 		return undefined;
 	}
 
+	/** What the caller is told if `refusal` keeps the request from being sent, or sent again. */
+	#endWith(refusal: RequestEnd): RequestEnd {
+		return this.#reportedEnd
+			? endAfterFailure(this.#reportedEnd, refusal)
+			: refusal;
+	}
+
 	/** Why the request can't be answered in the time that it or this daemon has left. */
-	#refusalBeforeSending({until}: RoutedRequest): RequestEnd | undefined {
+	#refusalBeforeSending(): RequestEnd | undefined {
 		const {clock, stopPlan} = this.context;
+		const until = this.#until;
 		const now = clock.now();
 		const plan = stopPlan();
 		if (plan && !takesRequest(plan, until, now)) {
--- a/packages/daemon/src/requests/attempt.ts
+++ b/packages/daemon/src/requests/attempt.ts
@@ -115,6 +115,18 @@
 		dispatcher.dispatch(request, this);
 	}
 
+	/** Whether a connection has begun to send the request and the attempt has not ended. */
+	get isAtServer(): boolean {
+		return this.#controller !== undefined && !this.#over;
+	}
+
+	/** Ends the attempt as unsent if no connection has begun to send the request; none will. */
+	withdraw(): void {
+		if (!this.#controller) {
+			this.#end({kind: 'unsent', message: 'withdrawn'});
+		}
+	}
+
 	/** Aborts the attempt because nobody waits for the answer; the server sees its connection close. */
 	cancel(): void {
 		this.#end({kind: 'cancelled'});
