Keep servers without an entry only if the store was away

Cause: a third of all entries vanishing in one answer, or any failed call within 2 s, was taken for an outage of the store, and the servers were kept for 2 s from when the daemon heard of it.

Change: entries that vanish are kept only after two report intervals in which no call of any kind was answered, until 2 s after the store's return. An entry lapses after three.

--- a/packages/core/src/gateway/lapse-hold.ts
+++ b/packages/core/src/gateway/lapse-hold.ts
@@ -9,10 +9,6 @@
 
 /** Running servers re-register within about two seconds after the store returns. */
 const holdMs: Millis = 2000;
-/** If this share of all entries vanishes at once, the store was unavailable, even if no call to it failed. */
-const massLapseShare = 0.3;
-/** Fewer entries than this vanishing at once are not a mass lapse. */
-const massLapseCount = 3;
 
 export class LapseHold {
 	#listed: readonly ListedServer[] = [];
@@ -30,24 +26,21 @@
 	}
 
 	/**
-	 * Updates the hold with the present entries and the time of the last failed call to
-	 * the store. Returns the servers to treat as in service.
+	 * Updates the hold with the present entries and when the store last returned from an
+	 * absence. Returns the servers to treat as in service.
 	 */
 	update(
 		listed: readonly ListedServer[],
-		lastFailureAt: Millis,
+		returnedAt: Millis,
 		now: Millis,
 	): readonly ListedServer[] {
 		const names = new Set(listed.map(({backendServer}) => backendServer));
 		const lapsed = this.#listed.filter(
 			({backendServer, draining}) => !draining && !names.has(backendServer),
 		);
-		const isMassLapse =
-			lapsed.length >=
-			Math.max(massLapseCount, this.#listed.length * massLapseShare);
 		this.#listed = listed;
-		if (lapsed.length > 0 && (isMassLapse || now - lastFailureAt < holdMs)) {
-			this.#heldUntil = (isMassLapse ? now : lastFailureAt) + holdMs;
+		if (lapsed.length > 0 && now - returnedAt < holdMs) {
+			this.#heldUntil = returnedAt + holdMs;
 			for (const server of lapsed) {
 				this.#held.set(server.backendServer, server);
 			}
--- /dev/null
+++ b/packages/core/src/gateway/store-absence.ts
@@ -0,0 +1,39 @@
+/**
+ * Whether the platform's store was away for so long that entries of running servers may
+ * have lapsed. A server renews its entry at intervals, and the entry lapses after three of
+ * them without a renewal. A daemon hears from the store more often than that, so that a
+ * shorter pause between two answers shows that renewals could arrive, and that an entry
+ * which vanished meanwhile was removed.
+ */
+import {type Millis} from '../time/clock.js';
+
+/** With fewer intervals than this without the store, an entry is renewed before it lapses. */
+const lapseIntervals = 2;
+
+export class StoreAbsence {
+	readonly #minMs: Millis;
+	#answeredAt: Millis | undefined;
+	#returnedAt: Millis = -Infinity;
+
+	/** `reportMs` is the interval at which servers renew their entries. */
+	constructor(reportMs: Millis) {
+		this.#minMs = lapseIntervals * reportMs;
+	}
+
+	/** When the store last answered again after an absence; -Infinity if it was never away. */
+	get returnedAt(): Millis {
+		return this.#returnedAt;
+	}
+
+	/** Records an answer of the store. */
+	answered(now: Millis): void {
+		if (
+			this.#answeredAt !== undefined &&
+			now - this.#answeredAt >= this.#minMs
+		) {
+			this.#returnedAt = now;
+		}
+
+		this.#answeredAt = now;
+	}
+}
--- a/packages/daemon/src/gateway/store-contact.ts
+++ b/packages/daemon/src/gateway/store-contact.ts
@@ -1,14 +1,23 @@
-/** Remembers when a call to the platform's store last failed, of whatever kind: the first sign that this daemon or the store is cut off. */
-import {type Clock, type Millis} from '@kingcuproute/core';
-import {type ObjectError} from '@kingcuproute/platform';
+/**
+ * Remembers when a call to the platform's store last failed, of whatever kind, the first
+ * sign that this daemon or the store is cut off, and when the store last was away.
+ */
+import {StoreAbsence, type Clock, type Millis} from '@kingcuproute/core';
+import {type Deployment, type ObjectError} from '@kingcuproute/platform';
 import {type Either} from 'purify-ts';
 import {inject, singleton} from 'tsyringe';
 
 @singleton()
 export class StoreContact {
+	readonly absence: StoreAbsence;
 	#lastFailureAt: Millis = -Infinity;
 
-	constructor(@inject('Clock') private readonly clock: Clock) {}
+	constructor(
+		@inject('Clock') private readonly clock: Clock,
+		@inject('Deployment') {serverReportMs}: Pick<Deployment, 'serverReportMs'>,
+	) {
+		this.absence = new StoreAbsence(serverReportMs);
+	}
 
 	/** -Infinity if no call has failed. */
 	get lastFailureAt(): Millis {
@@ -27,12 +36,17 @@
 		const startedAt = this.clock.now();
 		const outcome = await call;
 		const now = this.clock.now();
-		outcome.ifLeft(({kind}) => {
-			const hasFailed = kind === 'refused' || kind === 'unknown';
-			if (hasFailed && now - startedAt < outdatedMs) {
-				this.#lastFailureAt = now;
-			}
-		});
+		if (!isFailure(outcome)) {
+			this.absence.answered(now);
+		} else if (now - startedAt < outdatedMs) {
+			this.#lastFailureAt = now;
+		}
+
 		return outcome;
 	}
 }
+
+function isFailure(outcome: Either<ObjectError, unknown>): boolean {
+	const error = outcome.isLeft() ? outcome.extract() : undefined;
+	return error?.kind === 'refused' || error?.kind === 'unknown';
+}
--- a/packages/daemon/src/gateway/view-task.ts
+++ b/packages/daemon/src/gateway/view-task.ts
@@ -133,9 +133,9 @@
 				objects,
 				parseListedServer,
 			);
-			const {lastFailureAt} = servers;
+			const {returnedAt} = contact.absence;
 			this.#updateServers(
-				this.#lapseHold.update(listed, lastFailureAt, clock.now()),
+				this.#lapseHold.update(listed, returnedAt, clock.now()),
 			);
 		});
 		evacuations.objects.subscribe((objects) => {
--- a/packages/daemon/test/store-contact.test.ts
+++ b/packages/daemon/test/store-contact.test.ts
@@ -17,7 +17,7 @@
 	outdatedMs?: number,
 ): Promise<number> {
 	const clock = new ManualClock();
-	const contact = new StoreContact(clock);
+	const contact = new StoreContact(clock, {serverReportMs: 870});
 	const call = async () => {
 		await clock.sleep(tookMs);
 		return outcome;
--- a/packages/fakes/test/gateway-silence.test.ts
+++ b/packages/fakes/test/gateway-silence.test.ts
@@ -4,6 +4,7 @@
 import {SeededRandom} from '@kingcuproute/core';
 import {
 	createSite,
+	plainConfig,
 	sendAnswer,
 	siteConfig,
 	type RequestHandler,
@@ -17,16 +18,6 @@
 const rounds = 5;
 const random = new SeededRandom(Number(process.env.SEED));
 
-/** Without keys, the daemon keeps none, and makes no calls to the store but polls. */
-const plainConfig = {
-	...siteConfig,
-	services: {
-		...siteConfig.services,
-		rows: siteConfig.services.rows.slice(0, 1),
-	},
-	routes: {...siteConfig.routes, rows: siteConfig.routes.rows.slice(0, 2)},
-};
-
 const answer: RequestHandler = (req, res, body) => {
 	sendAnswer(req, res, body);
 };
--- a/packages/fakes/test/gateway-site.ts
+++ b/packages/fakes/test/gateway-site.ts
@@ -62,6 +62,16 @@
 /** The usual configuration at the start. */
 export const siteConfig = {version: 'r1', routes, services, limits};
 
+/** Without keys, the daemon keeps none, and makes no calls to the store but polls. */
+export const plainConfig = {
+	...siteConfig,
+	services: {
+		...siteConfig.services,
+		rows: siteConfig.services.rows.slice(0, 1),
+	},
+	routes: {...siteConfig.routes, rows: siteConfig.routes.rows.slice(0, 2)},
+};
+
 /** How a backend server handles a request. */
 export type RequestHandler = (
 	req: IncomingMessage,
