Answer what is left when a stopping daemon ends

Cause: what a server has is left to it until the end of the process, also what waits in the server's queue; the connections of both were closed without an answer.

Change: when the process ends, what is left gets 502, may have run, and 100 ms to be written; an answer that has begun is cut off as before. What still waits in the daemon, if anything does, gets 503, not run.

Evidence: fakes/gateway-stop "a stopping daemon tells the callers ..." failed on the former code (connections closed) and passes now.

--- a/packages/daemon/src/gateway/gateway-entry-task.ts
+++ b/packages/daemon/src/gateway/gateway-entry-task.ts
@@ -9,6 +9,7 @@
 import {
 	BufferBudget,
 	type Clock,
+	type Millis,
 	type Random,
 	type StopPlan,
 } from '@kingcuproute/core';
@@ -51,6 +52,8 @@
 const noticeMs = 2500;
 /** Part of the stop time that is reserved for the exit of the process. */
 const exitMs = 300;
+/** Time for the answers to requests that end with the process, within `exitMs`. */
+const lastAnswersMs: Millis = 100;
 /** Only half of the fleet's retry budget is used, because each daemon counts its retries separately. */
 const retryBudgetShare = 0.5;
 
@@ -163,9 +166,22 @@
 		}
 
 		this.log.info('entry-stopped', {cut: this.#inFlight});
+		await this.#endExchanges();
 		this.#readiness.close();
 	}
 
+	/** Answers the requests that are left, and waits until the answers are written. */
+	async #endExchanges(): Promise<void> {
+		for (const exchange of this.#exchanges) {
+			exchange.endWithProcess();
+		}
+
+		const until = this.clock.now() + lastAnswersMs;
+		while (this.#inFlight > 0 && this.clock.now() < until) {
+			await this.clock.sleep(5);
+		}
+	}
+
 	async #sendMetrics(res: ServerResponse): Promise<void> {
 		const text = await this.metrics.text();
 		res.writeHead(200, {'content-type': this.metrics.contentType});
--- a/packages/daemon/src/gateway/gateway-exchange.ts
+++ b/packages/daemon/src/gateway/gateway-exchange.ts
@@ -119,6 +119,21 @@
 		}
 	}
 
+	/**
+	 * Ends the request because the process does. What a server has may have run; an answer
+	 * that has begun is cut off.
+	 */
+	endWithProcess(): void {
+		const end: RequestEnd = {
+			reason: 'stopping',
+			notRun: !this.#attempt?.isAtServer,
+			retryAfterMs: 0,
+		};
+		this.#isRefused = true;
+		this.#attempt?.cancel();
+		this.#refuse(this.#endWith(end));
+	}
+
 	async #route(id: string, arrivedAt: Millis): Promise<RequestEnd | undefined> {
 		const {view, random} = this.context;
 		const {routes, servers} = view.view.value;
@@ -245,6 +260,10 @@
 
 			tried.push(server.backendServer);
 			const end = await this.#attemptAt(server, request, tried.length);
+			if (this.#isRefused) {
+				return undefined;
+			}
+
 			if (end.kind === 'answered') {
 				budget.recordSuccess();
 				return undefined;
