Refuse requests that crash servers on the platform's path too

Cause: only the project's own interface had a quarantine. On the platform's path a broken connection was retried like any loss, and remembered by nobody.

Change: requests lost at a run that proves to be over, and not answered since, are reported through the store; every daemon judges the reports alike, with the judge of the own interface, and refuses a request after the third crash for ten minutes (503, not run). A broken connection to a server that goes on counts for nothing.

CrashJudge takes a new option; its tests and the own interface set it as it was.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -297,6 +297,8 @@
 export {planLoadMoves} from './gateway/load-plan.js';
 export {chooseStandbys, type RegisteredDaemon} from './gateway/standbys.js';
 export {RetryAllowance, type RetryBounds} from './gateway/retry-allowance.js';
+export {CrashLosses} from './gateway/crash-losses.js';
+export {CrashReports, type CrashEvent} from './gateway/crash-reports.js';
 export {StoreAbsence} from './gateway/store-absence.js';
 export {LapseHold} from './gateway/lapse-hold.js';
 export {LeavingServers} from './gateway/leaving-servers.js';
--- a/packages/core/src/requests/attempt-end.ts
+++ b/packages/core/src/requests/attempt-end.ts
@@ -5,7 +5,12 @@
 import {type Ran} from './refusal.js';
 
 /** No byte of the request was handed to the operating system: the connection was refused or not made in time. */
-export type Unsent = {readonly kind: 'unsent'; readonly message: string};
+export type Unsent = {
+	readonly kind: 'unsent';
+	readonly message: string;
+	/** True if the server's host answered that nobody listens. */
+	readonly refused?: boolean;
+};
 
 /** The server itself reported that it did not run the request. */
 export type Declined = {
--- a/packages/core/src/requests/quarantine/crash-judge.ts
+++ b/packages/core/src/requests/quarantine/crash-judge.ts
@@ -16,6 +16,11 @@
 	readonly rememberMs: Millis;
 	/** Most fingerprints remembered; beyond that the oldest are dropped. */
 	readonly maxSuspects: number;
+	/**
+	 * Whether the only suspect at a second crash is condemned. It may be innocent where
+	 * suspects are not kept on different servers, and one cause ends several servers.
+	 */
+	readonly condemnsSoleSuspect: boolean;
 };
 
 /** The fingerprints that one call of `judge` condemns, and those that it suspects. */
@@ -112,7 +117,7 @@
 		const repeated = [...fingerprints].filter(
 			(fingerprint) => crashesOf(fingerprint) > 1,
 		);
-		return repeated.length === 1
+		return repeated.length === 1 && this.options.condemnsSoleSuspect
 			? repeated
 			: repeated.filter(
 					(fingerprint) => crashesOf(fingerprint) >= provenCrashCount,
--- a/packages/core/test/quarantine.test.ts
+++ b/packages/core/test/quarantine.test.ts
@@ -2,7 +2,12 @@
 import fc from 'fast-check';
 import {CrashJudge, ExpiringSet, fingerprintOf} from '../src/index.js';
 
-const options = {gatherMs: 10, rememberMs: 10_000, maxSuspects: 100};
+const options = {
+	gatherMs: 10,
+	rememberMs: 10_000,
+	maxSuspects: 100,
+	condemnsSoleSuspect: true,
+};
 
 test('only requests in flight at the crashes of two servers are condemned', (t) => {
 	const crash = fc.record({
--- a/packages/daemon/src/gateway/exchange-context.ts
+++ b/packages/daemon/src/gateway/exchange-context.ts
@@ -8,6 +8,7 @@
 import {type Log} from '../log/log.js';
 import {type ServerConnections} from '../requests/server-connections.js';
 import {type ServiceBudgets} from '../requests/service-budgets.js';
+import {type CrashQuarantine} from './crash-quarantine.js';
 import {type GatewayMetrics} from './gateway-metrics.js';
 import {type ServerNotices} from './server-notices.js';
 import {type ServerPicks} from './server-picks.js';
@@ -26,6 +27,7 @@
 	readonly random: Random;
 	readonly notices: ServerNotices;
 	readonly warmth: WarmthChecks;
+	readonly quarantine: CrashQuarantine;
 	readonly metrics: GatewayMetrics;
 	readonly log: Log;
 	/** Undefined unless the daemon is stopping. */
--- a/packages/daemon/src/gateway/gateway-entry-task.ts
+++ b/packages/daemon/src/gateway/gateway-entry-task.ts
@@ -25,6 +25,7 @@
 import {ServerConnections} from '../requests/server-connections.js';
 import {ServiceBudgets} from '../requests/service-budgets.js';
 import {Task} from '../task/task.js';
+import {CrashQuarantine} from './crash-quarantine.js';
 import {type ExchangeContext} from './exchange-context.js';
 import {GatewayExchange} from './gateway-exchange.js';
 import {GatewayMetrics, metricsPath} from './gateway-metrics.js';
@@ -73,6 +74,7 @@
 		@inject(ServerNotices) notices: ServerNotices,
 		@inject(WarmthChecks) warmth: WarmthChecks,
 		@inject(TrafficTask) traffic: TrafficTask,
+		@inject(CrashQuarantine) quarantine: CrashQuarantine,
 		@inject('Clock') private readonly clock: Clock,
 		@inject('Random') random: Random,
 		@inject(GatewayMetrics) private readonly metrics: GatewayMetrics,
@@ -95,6 +97,7 @@
 			notices,
 			warmth,
 			traffic,
+			quarantine,
 			connections,
 			budgets,
 			buffers: new BufferBudget(deployment.bufferLen),
--- a/packages/daemon/src/gateway/gateway-exchange.ts
+++ b/packages/daemon/src/gateway/gateway-exchange.ts
@@ -6,6 +6,7 @@
 import {
 	BufferLease,
 	drawService,
+	fingerprintOf,
 	headerFault,
 	ranAfter,
 	takesRequest,
@@ -32,6 +33,8 @@
 /** Share of the allowed time that a request may wait while its key moves to another server. */
 const ownerWaitShare = 0.3;
 const configRetryMs: Millis = 500;
+/** Bytes at the beginning of the body that tell requests apart. */
+const fingerprintedLen = 4096;
 const ownerPollMs: Millis = 25;
 /** Turns of the event loop it takes to read the end of a connection, close it and emit the close event. */
 const turnsUntilClose = 4;
@@ -57,6 +60,7 @@
 	#until: Millis = Infinity;
 	/** The failed attempt that the caller is told of if no other one answers. */
 	#reportedEnd: AttemptEnd | undefined;
+	#fingerprint: string | undefined;
 	#callerGone = false;
 	#isRefused = false;
 	/** Resolves if the request is refused while it waits. */
@@ -233,6 +237,15 @@
 				return this.#endWith(late);
 			}
 
+			const quarantineMs = this.#quarantineMs(request);
+			if (quarantineMs > 0) {
+				return this.#endWith({
+					reason: 'quarantined',
+					notRun: true,
+					retryAfterMs: quarantineMs,
+				});
+			}
+
 			const picked = picks.pick({service, key, tried, lastFailure});
 			if (picked.isLeft()) {
 				const refusal = picked.extract();
@@ -264,6 +277,7 @@
 				return undefined;
 			}
 
+			this.#recordForQuarantine(request, server, end);
 			if (end.kind === 'answered') {
 				budget.recordSuccess();
 				return undefined;
@@ -354,6 +368,42 @@
 		return true;
 	}
 
+	/** For how much longer the request is in quarantine; 0 if it is not. */
+	#quarantineMs(request: RoutedRequest): Millis {
+		const {quarantine} = this.context;
+		return quarantine.isIdle
+			? 0
+			: quarantine.leftMs(this.#fingerprintOf(request));
+	}
+
+	#recordForQuarantine(
+		request: RoutedRequest,
+		server: ListedServer,
+		end: AttemptEnd,
+	): void {
+		const {quarantine} = this.context;
+		if (end.kind === 'unsent' && end.refused) {
+			quarantine.ended(server);
+		} else if (end.kind === 'lost' && (end.reset || end.silent)) {
+			quarantine.lost(server, this.#fingerprintOf(request));
+		} else if (end.kind === 'answered' && !quarantine.isIdle) {
+			quarantine.answered(this.#fingerprintOf(request));
+		}
+	}
+
+	#fingerprintOf({body, key}: RoutedRequest): string {
+		const {method = 'GET', headers, url = '/'} = this.caller.req;
+		this.#fingerprint ??= fingerprintOf({
+			method,
+			path: `${headers.host}${url}`,
+			customer: '',
+			key: String(key),
+			idempotencyKey: '',
+			body: body.first.subarray(0, fingerprintedLen),
+		});
+		return this.#fingerprint;
+	}
+
 	#readKey(): number | undefined {
 		const text = this.#header(requestFields.key);
 		return text !== undefined && /^\d+$/.test(text) ? Number(text) : undefined;
--- a/packages/daemon/src/gateway/request-end.ts
+++ b/packages/daemon/src/gateway/request-end.ts
@@ -22,6 +22,8 @@
 	| 'timeout'
 	/** No time was left to send the request. */
 	| 'too-late'
+	/** The request has crashed the servers that ran it. */
+	| 'quarantined'
 	/** The daemon stops before the request would have to be answered. */
 	| 'stopping'
 	| 'internal';
--- a/packages/daemon/src/gateway/view-task.ts
+++ b/packages/daemon/src/gateway/view-task.ts
@@ -16,6 +16,7 @@
 import {
 	configKind,
 	configName,
+	crashReportsKind,
 	daemonsKind,
 	evacuationsKind,
 	parseDaemon,
@@ -66,6 +67,8 @@
 const gatherTablesMs: Millis = 2000;
 /** The shortest such pause: as long as a keeper gathers moves. */
 const minGatherTablesMs: Millis = 250;
+/** Several daemons report a crash at about the same time. */
+const gatherReportsMs: Millis = 300;
 /** Entries that no call has confirmed for this long are not current: a long poll is checked, and the check answered or given up, within it. */
 const maxCurrentMs: Millis = 6500;
 
@@ -83,6 +86,7 @@
 export class ViewTask extends Task {
 	readonly view = new Topic<GatewayView>(emptyView);
 	readonly rangeTableObjects: KindFollower;
+	readonly crashReportObjects: KindFollower;
 	/** For the followers of this daemon, also those of other tasks. */
 	readonly checkPace: CheckPace;
 	readonly #servers: KindFollower;
@@ -108,14 +112,18 @@
 		const {checkPace} = this;
 		const follow = (kind: string) =>
 			new KindFollower(kind, {store, clock, random, log, checkPace});
-		const [config, servers, evacuations, rangeTables, daemons] = [
+		const [config, servers, evacuations, rangeTables, daemons, crashReports] = [
 			configKind,
 			serversKind,
 			evacuationsKind,
 			rangeTablesKind,
 			daemonsKind,
+			crashReportsKind,
 		].map((kind) => follow(kind));
 		this.rangeTableObjects = rangeTables;
+		this.crashReportObjects = crashReports;
+		crashReports.slow = true;
+		crashReports.gatherMs = gatherReportsMs;
 		this.#servers = servers;
 		this.#gatherServersMs = bounds.drainMs * gatherServersShare;
 		servers.gatherMs = this.#gatherServersMs;
@@ -123,7 +131,14 @@
 		rangeTables.minGatherMs = minGatherTablesMs;
 		// One daemon more or less changes the other daemons' shares only a little.
 		daemons.slow = true;
-		this.#followers = [config, servers, evacuations, rangeTables, daemons];
+		this.#followers = [
+			config,
+			servers,
+			evacuations,
+			rangeTables,
+			daemons,
+			crashReports,
+		];
 		config.objects.subscribe((objects) => {
 			this.#updateConfig(objects);
 		});
--- a/packages/daemon/src/requests/attempt.ts
+++ b/packages/daemon/src/requests/attempt.ts
@@ -228,7 +228,8 @@
 		this.#cancelTimer();
 		const {message} = error;
 		if (!this.#controller) {
-			this.#end({kind: 'unsent', message});
+			const refused = (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
+			this.#end({kind: 'unsent', message, refused});
 		} else if (this.res.headersSent) {
 			this.#end({kind: 'cut', message});
 		} else {
--- a/packages/daemon/src/requests/quarantine/judging.ts
+++ b/packages/daemon/src/requests/quarantine/judging.ts
@@ -67,6 +67,7 @@
 			gatherMs,
 			rememberMs: deps.terms.quarantineMs,
 			maxSuspects,
+			condemnsSoleSuspect: true,
 		});
 		deps.mesh.serve(reportCrash, async (report) => {
 			await this.#receive(report);
--- a/packages/fakes/test/gateway-site.ts
+++ b/packages/fakes/test/gateway-site.ts
@@ -96,6 +96,7 @@
 	memoryMb = 350;
 	#daemon: Child | undefined;
 	readonly #servers: Server[] = [];
+	readonly #byName = new Map<string, Server>();
 	readonly #folder = mkdtempSync(path.join(tmpdir(), 'gateway-'));
 
 	/** Starts and registers a server; `handle` gets every request except key orders, whose paths start with /kingcuproute/, and health checks. */
@@ -125,10 +126,18 @@
 		server.listen(0, '127.0.0.1');
 		await once(server, 'listening');
 		this.#servers.push(server);
+		this.#byName.set(name, server);
 		const {port} = server.address() as AddressInfo;
 		this.registerServer(name, service, port);
 	}
 
+	/** Ends a server at once; its entry stays. */
+	crashServer(name: string): void {
+		const server = this.#byName.get(name)!;
+		server.closeAllConnections();
+		server.close();
+	}
+
 	/** The port of the server that was added last. */
 	servedPort(): number {
 		return (this.#servers.at(-1)!.address() as AddressInfo).port;
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -49,6 +49,11 @@
 	parseRangeTable,
 	type Keeper,
 } from './range-table-document.js';
+export {
+	crashReportSpec,
+	crashReportsKind,
+	parseCrashReport,
+} from './crash-report-document.js';
 export {parseListedServer, serversKind} from './listed-servers.js';
 export {errorText, type ObjectError} from './object-error.js';
 export {
