Report requests lost at a crash once others had time to answer them

Cause, found in reading: a request lost at a run that was already known to be over was reported at once, each by an event of its own. The crash of a failure domain would have filled the reports with requests that the next server answers, and had the store written as fast as it answers. A refused connection also searched all losses each time.

Change: losses are reported 500 ms after they happened, together for each run, if nobody has answered them; writes are 250 ms apart; a run's end is searched for once. Events already seen are remembered by hash.

--- a/packages/core/src/gateway/crash-losses.ts
+++ b/packages/core/src/gateway/crash-losses.ts
@@ -10,11 +10,19 @@
 
 /** A loss and the end of the run belong together if they are no further apart: an entry lapses within a few seconds. */
 const togetherMs: Millis = 10_000;
+/** A safe request is answered by another server within this time, unless that is lost as well. */
+const settleMs: Millis = 500;
 const maxLost = 10_000;
 const maxEnded = 1000;
 /** The most requests reported for one crash; those lost at several servers come first. */
 const maxReported = 20;
 
+/** The requests taken out, and whether the run has lost no others lately. */
+export type TakenLosses = {
+	readonly fingerprints: readonly string[];
+	readonly areAll: boolean;
+};
+
 export class CrashLosses {
 	/** When each request was lost, by its fingerprint and the run; the oldest request first. */
 	readonly #lost = new Map<string, Map<string, Millis>>();
@@ -26,18 +34,12 @@
 		return this.#lost.size === 0;
 	}
 
-	/** Records that the run lost a request; true if the run is known to be over. */
-	lost(run: ServerRun, fingerprint: string, now: Millis): boolean {
+	/** Records that the run lost a request. */
+	lost(run: ServerRun, fingerprint: string, now: Millis): void {
 		this.#prune(now);
-		const key = runKeyOf(run);
-		if (this.#ended.has(key)) {
-			return true;
-		}
-
 		const runs = this.#lost.get(fingerprint) ?? new Map<string, Millis>();
 		this.#lost.delete(fingerprint);
-		this.#lost.set(fingerprint, runs.set(key, now));
-		return false;
+		this.#lost.set(fingerprint, runs.set(runKeyOf(run), now));
 	}
 
 	/** Records an answer to the request: it does not crash the servers that run it. */
@@ -45,33 +47,50 @@
 		this.#lost.delete(fingerprint);
 	}
 
-	/** Records that the run is over, by a crash; returns the requests lost there that have not been answered. */
-	ended(run: ServerRun, now: Millis): readonly string[] {
+	/** Records that the run is over, by a crash; false if that was known. */
+	ended(run: ServerRun, now: Millis): boolean {
 		this.#prune(now);
 		const key = runKeyOf(run);
+		const isNew = !this.#ended.has(key);
 		this.#ended.delete(key);
 		this.#ended.set(key, now);
+		return isNew;
+	}
+
+	/** Whether the run is known to be over. */
+	isOver(run: ServerRun): boolean {
+		return this.#ended.has(runKeyOf(run));
+	}
+
+	/**
+	 * Takes out the requests that a run which is over lost `settleMs` ago or earlier, so that
+	 * another server has had time to answer them.
+	 */
+	take(run: ServerRun, now: Millis): TakenLosses {
+		this.#prune(now);
+		const key = runKeyOf(run);
 		const lostHere = [...this.#lost].filter(([, runs]) => runs.has(key));
-		const reported = lostHere
+		const settled = lostHere.filter(
+			([, runs]) => now - runs.get(key)! >= settleMs,
+		);
+		const reported = settled
 			.toSorted(([, a], [, b]) => b.size - a.size)
-			.slice(0, maxReported);
-		for (const [, runs] of lostHere) {
-			// A request that is reported once still counts as lost at its other servers.
+			.slice(0, maxReported)
+			.map(([fingerprint]) => fingerprint);
+		for (const [fingerprint, runs] of settled) {
 			runs.delete(key);
+			if (runs.size === 0) {
+				this.#lost.delete(fingerprint);
+			}
 		}
 
-		this.#prune(now);
-		return reported.map(([fingerprint]) => fingerprint);
+		return {fingerprints: reported, areAll: settled.length === lostHere.length};
 	}
 
 	#prune(now: Millis): void {
 		for (const [fingerprint, runs] of this.#lost) {
 			const lastAt = Math.max(...runs.values());
-			if (
-				runs.size > 0 &&
-				now - lastAt < togetherMs &&
-				this.#lost.size <= maxLost
-			) {
+			if (now - lastAt < togetherMs && this.#lost.size <= maxLost) {
 				break;
 			}
 
--- a/packages/core/src/gateway/crash-reports.ts
+++ b/packages/core/src/gateway/crash-reports.ts
@@ -4,6 +4,7 @@
  * same way, so that nobody has to be asked. A request is condemned once it was in flight
  * at the crashes of three servers and has not been answered since the first of them.
  */
+import {hash64} from '../chance/hash.js';
 import {CrashJudge} from '../requests/quarantine/crash-judge.js';
 import {ExpiringSet} from '../requests/quarantine/expiring-set.js';
 import {type Millis} from '../time/clock.js';
@@ -48,7 +49,7 @@
 	readonly #suspected = new ExpiringSet(maxSuspects);
 	readonly #condemned = new ExpiringSet(maxCondemned);
 	/** The events applied so far, with the time of each. */
-	readonly #seen = new Map<string, Millis>();
+	readonly #seen = new Map<bigint, Millis>();
 	#own: readonly CrashEvent[] = [];
 
 	/** The events that this daemon reports to the others. */
@@ -124,6 +125,6 @@
 	}
 }
 
-function keyOf(event: CrashEvent): string {
-	return JSON.stringify(event);
+function keyOf(event: CrashEvent): bigint {
+	return hash64(JSON.stringify(event));
 }
--- a/packages/daemon/src/gateway/crash-quarantine.ts
+++ b/packages/daemon/src/gateway/crash-quarantine.ts
@@ -34,6 +34,10 @@
 
 /** How long reports are followed closely after a sign that a server has ended. */
 const attentionMs: Millis = 30_000;
+/** From the loss of a request at a server that has crashed to the report. */
+const reportDelayMs: Millis = 500;
+/** Between two writes, in which events gather. */
+const writePauseMs: Millis = 250;
 const retryMs: Millis = 500;
 
 @singleton()
@@ -41,8 +45,11 @@
 	readonly #losses = new CrashLosses();
 	readonly #reports = new CrashReports();
 	readonly #reader: ObjectReader;
+	#servers: readonly ListedServer[] = [];
 	/** The runs that were listed last and did not leave, by key. */
 	#listed: ReadonlyMap<string, ListedServer> = new Map();
+	/** The runs whose losses will be reported after a delay. */
+	readonly #reportsDue = new Set<string>();
 	#isRestored = false;
 	#attentiveUntil: Millis = -Infinity;
 	#revision: number | undefined;
@@ -79,8 +86,9 @@
 
 	/** Records that the connection to the server broke, or stayed silent, with the request in flight. */
 	lost(server: ListedServer, fingerprint: string): void {
-		if (this.#losses.lost(server, fingerprint, this.clock.now())) {
-			this.#reportCrash(server, [fingerprint]);
+		this.#losses.lost(server, fingerprint, this.clock.now());
+		if (this.#losses.isOver(server)) {
+			this.#reportLater(server);
 		}
 	}
 
@@ -96,13 +104,17 @@
 	/** Records that the server's run is over, without having announced it. */
 	ended(server: ListedServer): void {
 		this.#attend();
-		const fingerprints = this.#losses.ended(server, this.clock.now());
-		if (fingerprints.length > 0) {
-			this.#reportCrash(server, fingerprints);
+		if (this.#losses.ended(server, this.clock.now())) {
+			this.#reportLosses(server);
 		}
 	}
 
 	#recordServers(servers: readonly ListedServer[]): void {
+		if (servers === this.#servers) {
+			return;
+		}
+
+		this.#servers = servers;
 		const formerly = this.#listed;
 		this.#listed = new Map(
 			servers
@@ -122,6 +134,29 @@
 		}
 	}
 
+	/** Reports what the server lost in its crash and nobody has answered since. */
+	#reportLosses(server: ListedServer): void {
+		const {fingerprints, areAll} = this.#losses.take(server, this.clock.now());
+		if (fingerprints.length > 0) {
+			this.#reportCrash(server, fingerprints);
+		}
+
+		if (!areAll) {
+			this.#reportLater(server);
+		}
+	}
+
+	#reportLater(server: ListedServer): void {
+		const run = runKeyOf(server);
+		if (!this.#reportsDue.has(run)) {
+			this.#reportsDue.add(run);
+			this.clock.after(reportDelayMs, () => {
+				this.#reportsDue.delete(run);
+				this.#reportLosses(server);
+			});
+		}
+	}
+
 	#reportCrash(server: ListedServer, fingerprints: readonly string[]): void {
 		const {service, backendServer} = server;
 		this.log.warn('server-crashed', {
@@ -204,6 +239,7 @@
 			const error = await this.#writeOnce(own);
 			if (!error) {
 				written = own;
+				await this.clock.sleep(writePauseMs);
 			} else if (error.kind !== 'conflict') {
 				await this.clock.sleep(this.random.jitter(retryMs));
 			}
