Accept crash reports about servers with long names

A report with a name of over 200 characters would have been unreadable for all daemons, and the request never refused. Found in reading; no play showed it.

--- a/packages/platform/src/crash-report-document.ts
+++ b/packages/platform/src/crash-report-document.ts
@@ -5,7 +5,7 @@
 /** Each daemon that lost requests at a crash has an object of this kind. */
 export const crashReportsKind = 'kingcuproute-crash-reports';
 
-const maxTextLen = 200;
+const maxTextLen = 1000;
 const text = z.string().max(maxTextLen);
 const event = z.discriminatedUnion('kind', [
 	z.object({
