Follow crash reports for a shorter time, and gather them for longer

Each daemon that lost an order at a crash writes once, and each write woke all followers.

Change: reports are gathered for 1 s in place of 0.3 s, and followed for 10 s in place of 30 s after a sign of a crash. Reports follow the end of a server at once, so that the first one still arrives without delay.

--- a/packages/daemon/src/gateway/crash-quarantine.ts
+++ b/packages/daemon/src/gateway/crash-quarantine.ts
@@ -33,7 +33,7 @@
 import {ViewTask} from './view-task.js';
 
 /** How long reports are followed closely after a sign that a server has ended. */
-const attentionMs: Millis = 30_000;
+const attentionMs: Millis = 10_000;
 /** From the loss of a request at a server that has crashed to the report. */
 const reportDelayMs: Millis = 500;
 /** Between two writes, in which events gather. */
--- a/packages/daemon/src/gateway/view-task.ts
+++ b/packages/daemon/src/gateway/view-task.ts
@@ -68,7 +68,7 @@
 /** The shortest such pause: as long as a keeper gathers moves. */
 const minGatherTablesMs: Millis = 250;
 /** Several daemons report a crash at about the same time. */
-const gatherReportsMs: Millis = 300;
+const gatherReportsMs: Millis = 1000;
 /** Entries that no call has confirmed for this long are not current: a long poll is checked, and the check answered or given up, within it. */
 const maxCurrentMs: Millis = 6500;
 
