Stop taking fingerprints once all suspicions are over

Suspects that nobody asked for again were counted for good, so that every request was hashed after the first crash.

--- a/packages/core/src/gateway/crash-reports.ts
+++ b/packages/core/src/gateway/crash-reports.ts
@@ -51,15 +51,17 @@
 	/** The events applied so far, with the time of each. */
 	readonly #seen = new Map<bigint, Millis>();
 	#own: readonly CrashEvent[] = [];
+	/** By then everybody is free of suspicion. */
+	#suspicionUntil: Millis = -Infinity;
 
 	/** The events that this daemon reports to the others. */
 	get own(): readonly CrashEvent[] {
 		return this.#own;
 	}
 
-	/** Whether there is a suspect at all; if not, no request needs a fingerprint. */
-	get isEmpty(): boolean {
-		return this.#suspected.size === 0 && this.#condemned.size === 0;
+	/** Whether there can be a suspect; if not, no request needs a fingerprint. */
+	isEmpty(wall: Millis): boolean {
+		return wall >= this.#suspicionUntil;
 	}
 
 	/** Adds an event of this daemon; returns the requests that it condemns. */
@@ -110,6 +112,7 @@
 		}
 
 		const {run, fingerprints} = event;
+		this.#suspicionUntil = wall + rememberMs;
 		this.#judge.report(run, fingerprints, wall);
 		const {condemned} = this.#judge.judge(wall);
 		for (const fingerprint of fingerprints) {
--- a/packages/core/test/gateway/crash-losses.test.ts
+++ b/packages/core/test/gateway/crash-losses.test.ts
@@ -87,6 +87,8 @@
 	t.true(reports.condemnedMs('bad', 50) > 0);
 	t.is(reports.condemnedMs('hot', 50), 0);
 	t.is(reports.condemnedMs('bad', 50 + 600_000), 0);
+	t.false(reports.isEmpty(50));
+	t.true(reports.isEmpty(50 + 600_000));
 });
 
 test('daemons that hear of the same crashes in any order, and more than once, condemn the same requests', (t) => {
--- a/packages/daemon/src/gateway/crash-quarantine.ts
+++ b/packages/daemon/src/gateway/crash-quarantine.ts
@@ -76,7 +76,7 @@
 
 	/** Whether no request can be a suspect, so that none needs a fingerprint. */
 	get isIdle(): boolean {
-		return this.#losses.isEmpty && this.#reports.isEmpty;
+		return this.#losses.isEmpty && this.#reports.isEmpty(this.clock.wall());
 	}
 
 	/** For how much longer the request is refused; 0 if it may be sent. */
