Read the change once more: one way to take back an attempt, one set of suspects

Cause: found in reading. Attempt#withdraw did what cancel does for a request that no connection has begun, and left a lost server behind that was none; CrashReports kept the suspects that its judge knows; the exchange had grown by what the quarantine needs.

--- a/packages/core/src/gateway/crash-reports.ts
+++ b/packages/core/src/gateway/crash-reports.ts
@@ -46,7 +46,6 @@
 		condemnsSoleSuspect: false,
 	});
 
-	readonly #suspected = new ExpiringSet(maxSuspects);
 	readonly #condemned = new ExpiringSet(maxCondemned);
 	/** The events applied so far, with the time of each. */
 	readonly #seen = new Map<bigint, Millis>();
@@ -95,7 +94,7 @@
 
 	/** Whether the request was in flight at a crash and not answered since. */
 	isSuspected(fingerprint: string, wall: Millis): boolean {
-		return this.#suspected.has(fingerprint, wall);
+		return this.#judge.isSuspected(fingerprint, wall);
 	}
 
 	/** For how much longer the request is to be refused; 0 if it may be sent. */
@@ -107,7 +106,6 @@
 		this.#seen.set(keyOf(event), event.at);
 		if (event.kind === 'answer') {
 			this.#judge.acquit(event.fingerprint);
-			this.#suspected.delete(event.fingerprint);
 			return [];
 		}
 
@@ -115,10 +113,6 @@
 		this.#suspicionUntil = wall + rememberMs;
 		this.#judge.report(run, fingerprints, wall);
 		const {condemned} = this.#judge.judge(wall);
-		for (const fingerprint of fingerprints) {
-			this.#suspected.add(fingerprint, wall + rememberMs);
-		}
-
 		const added = condemned.filter((each) => !this.#condemned.has(each, wall));
 		for (const fingerprint of condemned) {
 			this.#condemned.add(fingerprint, wall + rememberMs);
--- a/packages/core/src/requests/quarantine/crash-judge.ts
+++ b/packages/core/src/requests/quarantine/crash-judge.ts
@@ -90,6 +90,12 @@
 		}
 	}
 
+	/** Whether the request was in flight at a judged crash and not answered since. */
+	isSuspected(fingerprint: string, now: Millis): boolean {
+		const suspect = this.#suspects.get(fingerprint);
+		return suspect !== undefined && suspect.at + this.options.rememberMs > now;
+	}
+
 	/** Judges the crashes whose reports have been gathered for long enough. */
 	judge(now: Millis): CrashVerdict {
 		dropOldest(this.#suspects, now, this.options);
--- a/packages/daemon/src/gateway/crash-quarantine.ts
+++ b/packages/daemon/src/gateway/crash-quarantine.ts
@@ -46,7 +46,7 @@
 	readonly #reports = new CrashReports();
 	readonly #reader: ObjectReader;
 	#servers: readonly ListedServer[] = [];
-	/** The runs that were listed last and did not leave, by key. */
+	/** The same by run. */
 	#listed: ReadonlyMap<string, ListedServer> = new Map();
 	/** The runs whose losses will be reported after a delay. */
 	readonly #reportsDue = new Set<string>();
@@ -116,19 +116,10 @@
 
 		this.#servers = servers;
 		const formerly = this.#listed;
-		this.#listed = new Map(
-			servers
-				.filter(({draining}) => !draining)
-				.map((server) => [runKeyOf(server), server]),
-		);
-		const leaving = new Set(
-			servers
-				.filter(({draining}) => draining)
-				.map((server) => runKeyOf(server)),
-		);
-		for (const [key, server] of formerly) {
-			const isOver = !this.#listed.has(key) && !leaving.has(key);
-			if (isOver && !this.notices.leaving.has(server)) {
+		this.#listed = new Map(servers.map((server) => [runKeyOf(server), server]));
+		for (const [run, server] of formerly) {
+			const hasLeft = server.draining || this.notices.leaving.has(server);
+			if (!this.#listed.has(run) && !hasLeft) {
 				this.ended(server);
 			}
 		}
--- a/packages/daemon/src/gateway/gateway-attempt.ts
+++ b/packages/daemon/src/gateway/gateway-attempt.ts
@@ -69,11 +69,6 @@
 		return this.#attempt?.isAtServer ?? false;
 	}
 
-	/** Ends the attempt if it still waits for a connection. */
-	withdraw(): void {
-		this.#attempt?.withdraw();
-	}
-
 	/** Cancels the attempt; the server sees its connection close. */
 	cancel(): void {
 		this.#attempt?.cancel();
--- a/packages/daemon/src/gateway/gateway-exchange.ts
+++ b/packages/daemon/src/gateway/gateway-exchange.ts
@@ -6,7 +6,6 @@
 import {
 	BufferLease,
 	drawService,
-	fingerprintOf,
 	headerFault,
 	ranAfter,
 	takesRequest,
@@ -23,6 +22,7 @@
 import {endAfterFailure, sendEnd, type RequestEnd} from './request-end.js';
 import {type PickCriteria} from './server-picks.js';
 import {holdLen, GatewayAttempt} from './gateway-attempt.js';
+import {SuspectRequest} from './suspect-request.js';
 
 /** Time allowed for a request whose caller sets none. */
 const defaultAllowedMs: Millis = 5000;
@@ -33,8 +33,6 @@
 /** Share of the allowed time that a request may wait while its key moves to another server. */
 const ownerWaitShare = 0.3;
 const configRetryMs: Millis = 500;
-/** Bytes at the beginning of the body that tell requests apart. */
-const fingerprintedLen = 4096;
 const ownerPollMs: Millis = 25;
 /** Turns of the event loop it takes to read the end of a connection, close it and emit the close event. */
 const turnsUntilClose = 4;
@@ -60,7 +58,6 @@
 	#until: Millis = Infinity;
 	/** The failed attempt that the caller is told of if no other one answers. */
 	#reportedEnd: AttemptEnd | undefined;
-	#fingerprint: string | undefined;
 	#callerGone = false;
 	#isRefused = false;
 	/** Resolves if the request is refused while it waits. */
@@ -117,9 +114,7 @@
 	refuseIfWaiting(): void {
 		const refusal = this.#refusalBeforeSending();
 		if (refusal && !this.#attempt?.isAtServer) {
-			this.#isRefused = true;
-			this.#attempt?.withdraw();
-			this.#refuse(this.#endWith(refusal));
+			this.#endNow(refusal);
 		}
 	}
 
@@ -128,11 +123,14 @@
 	 * that has begun is cut off.
 	 */
 	endWithProcess(): void {
-		const end: RequestEnd = {
+		this.#endNow({
 			reason: 'stopping',
 			notRun: !this.#attempt?.isAtServer,
 			retryAfterMs: 0,
-		};
+		});
+	}
+
+	#endNow(end: RequestEnd): void {
 		this.#isRefused = true;
 		this.#attempt?.cancel();
 		this.#refuse(this.#endWith(end));
@@ -222,8 +220,12 @@
 	async #sendUntilAnswered(
 		request: RoutedRequest,
 	): Promise<RequestEnd | undefined> {
-		const {picks, clock, budgets, traffic, warmth} = this.context;
-		const {service, key} = request;
+		const {picks, clock, budgets, traffic, warmth, quarantine} = this.context;
+		const {service, key, body} = request;
+		const suspect = new SuspectRequest(quarantine, this.caller.req, {
+			key,
+			body,
+		});
 		const budget = budgets.of(service.service);
 		if (service.keyed && key !== undefined) {
 			traffic.of(service.service).record(key, clock.now());
@@ -237,7 +239,7 @@
 				return this.#endWith(late);
 			}
 
-			const quarantineMs = this.#quarantineMs(request);
+			const {quarantineMs} = suspect;
 			if (quarantineMs > 0) {
 				return this.#endWith({
 					reason: 'quarantined',
@@ -277,7 +279,7 @@
 				return undefined;
 			}
 
-			this.#recordForQuarantine(request, server, end);
+			suspect.recordEnd(server, end);
 			if (end.kind === 'answered') {
 				budget.recordSuccess();
 				return undefined;
@@ -368,42 +370,6 @@
 		return true;
 	}
 
-	/** For how much longer the request is in quarantine; 0 if it is not. */
-	#quarantineMs(request: RoutedRequest): Millis {
-		const {quarantine} = this.context;
-		return quarantine.isIdle
-			? 0
-			: quarantine.leftMs(this.#fingerprintOf(request));
-	}
-
-	#recordForQuarantine(
-		request: RoutedRequest,
-		server: ListedServer,
-		end: AttemptEnd,
-	): void {
-		const {quarantine} = this.context;
-		if (end.kind === 'unsent' && end.refused) {
-			quarantine.ended(server);
-		} else if (end.kind === 'lost' && (end.reset || end.silent)) {
-			quarantine.lost(server, this.#fingerprintOf(request));
-		} else if (end.kind === 'answered' && !quarantine.isIdle) {
-			quarantine.answered(this.#fingerprintOf(request));
-		}
-	}
-
-	#fingerprintOf({body, key}: RoutedRequest): string {
-		const {method = 'GET', headers, url = '/'} = this.caller.req;
-		this.#fingerprint ??= fingerprintOf({
-			method,
-			path: `${headers.host}${url}`,
-			customer: '',
-			key: String(key),
-			idempotencyKey: '',
-			body: body.first.subarray(0, fingerprintedLen),
-		});
-		return this.#fingerprint;
-	}
-
 	#readKey(): number | undefined {
 		const text = this.#header(requestFields.key);
 		return text !== undefined && /^\d+$/.test(text) ? Number(text) : undefined;
--- a/packages/daemon/src/requests/attempt.ts
+++ b/packages/daemon/src/requests/attempt.ts
@@ -120,14 +120,10 @@
 		return this.#controller !== undefined && !this.#over;
 	}
 
-	/** Ends the attempt as unsent if no connection has begun to send the request; none will. */
-	withdraw(): void {
-		if (!this.#controller) {
-			this.#end({kind: 'unsent', message: 'withdrawn'});
-		}
-	}
-
-	/** Aborts the attempt because nobody waits for the answer; the server sees its connection close. */
+	/**
+	 * Aborts the attempt because nobody waits for the answer; the server sees its connection
+	 * close. If no connection has begun to send the request, none will.
+	 */
 	cancel(): void {
 		this.#end({kind: 'cancelled'});
 		this.#abort('cancelled');
--- a/packages/platform/src/http-object-store.ts
+++ b/packages/platform/src/http-object-store.ts
@@ -185,6 +185,7 @@
 		const abort = new AbortController();
 		const cancel = this.clock.after(timeoutMs, () => {
 			abort.abort(new Error(`no answer in ${timeoutMs} ms`));
+			// Connections that have been replaced meanwhile tell nothing of the present ones.
 			if (agent === this.#calls) {
 				this.#renewConnections();
 			}
