Prefer servers of the daemon's own failure domain for long bodies

The expected time of a server is now in ms (run time by load), and a server of another domain is charged a time for the bytes of the request and of the mean answer of its route: kingcuproute.crossDomainMsPerKb, by default 2 from 60 daemons on and 0 below, at most half of the slack to the target latency. Without a charge the choice is the same as before.

ServerLoads takes the run times of other daemons as a function, to be connected to FleetReports.

--- a/packages/core/src/gateway/server-loads.ts
+++ b/packages/core/src/gateway/server-loads.ts
@@ -3,11 +3,13 @@
  * daemon sent there and from reports in the answers, and chooses the server for the next
  * request. Many daemons send to the same servers, and each sees only its own requests,
  * so the requests of the others that a server reports count for a while. Servers differ
- * in speed, so a fast one gets more requests than a slow one.
+ * in speed, so a fast one gets more requests than a slow one. Where bytes between failure
+ * domains are expensive, a server of another domain is charged a time for them.
  */
 import {type Random} from '../chance/random.js';
 import {type Millis} from '../time/clock.js';
 import {median} from '../balance/median.js';
+import {type DomainCrossing} from './domain-crossing.js';
 import {type ListedServer} from './listed-server.js';
 
 /** A server's report of itself: the requests that run and that wait there, and its slots. */
@@ -22,6 +24,8 @@
 
 /** Reported requests of other daemons count half after this time, the usual run time of a request. */
 const reportHalfLifeMs: Millis = 300;
+/** Reports of this age still tell how busy a failure domain is: each of many daemons hears of one of its servers about twice a second. */
+const recentReportMs: Millis = 3000;
 /** How long a server that lost a request is used only as a last resort: a few times as long as a crashed server takes until its next report. */
 const avoidLostMs: Millis = 2000;
 /** How long a server that declined a request is used only as a last resort: about the run time of one request. */
@@ -32,6 +36,8 @@
 const readingHalfLifeMs: Millis = 5000;
 /** The expected time of a request at an idle server, relative to the time that one more request per slot adds. */
 const idleWeight = 0.5;
+/** Run time of requests as long as none has been measured: about the usual one of the sites served. */
+const defaultRunMs: Millis = 200;
 /** A server that has answered within this time is likely to take a retry. */
 const provenMs: Millis = 5000;
 /** Requests per slot below which a slot is free. */
@@ -39,6 +45,9 @@
 /** Requests per slot at which a server gets no more: its queue then holds about one run time of work. */
 export const maxLoad = 2;
 
+const noRunTimes: ReadonlyMap<string, Millis> = new Map();
+const noCharge: DomainCrossing = {ownDomain: '', chargeMs: 0};
+
 /** What this daemon knows about one server. */
 type ServerStats = {
 	/** Requests of this daemon. */
@@ -56,10 +65,31 @@
 	failShareAt: Millis;
 };
 
+class Mean {
+	#sum = 0;
+	#count = 0;
+
+	/** 0 if nothing was added. */
+	get value(): number {
+		return this.#sum / Math.max(1, this.#count);
+	}
+
+	add(value: number): void {
+		this.#sum += value;
+		this.#count++;
+	}
+}
+
 export class ServerLoads {
 	readonly #stats = new Map<string, ServerStats>();
 
-	constructor(private readonly random: Random) {}
+	constructor(
+		private readonly random: Random,
+		/** The run times that other daemons measured, by server. */
+		private readonly fleetRunTimes: (
+			service: string,
+		) => ReadonlyMap<string, Millis> = () => noRunTimes,
+	) {}
 
 	/** Drops the data of servers that are not in `servers` and have no request in flight. */
 	keep(servers: ReadonlySet<string>): void {
@@ -133,12 +163,14 @@
 	 * The server that is expected to answer first; undefined if all are full. A retry goes
 	 * to a server that has answered this daemon recently and has a free slot, if there is
 	 * one: in a large fleet a daemon knows few servers, and when many refuse, the next one
-	 * at random is likely to refuse as well.
+	 * at random is likely to refuse as well. Servers outside `crossing.ownDomain` are
+	 * charged `crossing.chargeMs`.
 	 */
 	choose(
 		candidates: readonly ListedServer[],
 		now: Millis,
 		isRetry = false,
+		{ownDomain, chargeMs}: DomainCrossing = noCharge,
 	): ListedServer | undefined {
 		const loads = candidates
 			.map((server) => ({server, load: this.load(server, now)}))
@@ -154,12 +186,15 @@
 		);
 		const eligible =
 			[proven, notAvoided].find(({length}) => length > 0) ?? loads;
-		const slowness = this.#slowness(candidates, now);
+		const runMsOf = this.#runTimes(candidates, now);
+		const unseenLoad =
+			chargeMs > 0 ? this.#unseenLoads(candidates, now) : () => 0;
 		const estimates = eligible.map(({server, load}) => ({
 			server,
 			expectedTime:
-				(slowness(server) * (idleWeight + load)) /
-				(1 - this.#failShare(this.#statsOf(server.backendServer), now)),
+				(runMsOf(server) * (idleWeight + load + unseenLoad(server))) /
+					(1 - this.#failShare(this.#statsOf(server.backendServer), now)) +
+				(server.failureDomain === ownDomain ? 0 : chargeMs),
 		}));
 		const shortest = Math.min(
 			...estimates.map(({expectedTime}) => expectedTime),
@@ -176,25 +211,58 @@
 		return (inFlight + others * 2 ** (-age / reportHalfLifeMs)) / slots;
 	}
 
+	/**
+	 * The load by other daemons that a server is expected to have beyond the faded part of
+	 * its own report: that of its domain's other servers. Without it, a server not heard
+	 * of lately would pass for idle, and a full domain would keep its requests.
+	 */
+	#unseenLoads(
+		candidates: readonly ListedServer[],
+		now: Millis,
+	): (server: ListedServer) => number {
+		const byDomain = new Map<string, Mean>();
+		for (const {backendServer, failureDomain, slots} of candidates) {
+			const {others, reportedAt} = this.#statsOf(backendServer);
+			if (now - reportedAt < recentReportMs) {
+				const mean = byDomain.get(failureDomain) ?? new Mean();
+				mean.add(others / slots);
+				byDomain.set(failureDomain, mean);
+			}
+		}
+
+		return ({backendServer, failureDomain}) => {
+			// A domain without recent reports counts as idle, so that it is tried when the others are busy.
+			const mean = byDomain.get(failureDomain)?.value ?? 0;
+			const {reportedAt} = this.#statsOf(backendServer);
+			return mean * (1 - 2 ** (-(now - reportedAt) / reportHalfLifeMs));
+		};
+	}
+
 	/** The failure share decays over time, so that a server that failed is tried again. */
 	#failShare({failShare, failShareAt}: ServerStats, now: Millis): number {
 		return failShare * 2 ** (-(now - failShareAt) / readingHalfLifeMs);
 	}
 
-	/** A server's run time relative to the median of `candidates`; 1 if unknown. */
-	#slowness(
+	/**
+	 * How long a request is expected to run at a server. An old reading gives way to the
+	 * other daemons' run time, or to the median of `candidates` if there is none.
+	 */
+	#runTimes(
 		candidates: readonly ListedServer[],
 		now: Millis,
-	): (server: ListedServer) => number {
-		const medianMs = median([...this.runTimes(candidates).values()]);
-		return ({backendServer}) => {
+	): (server: ListedServer) => Millis {
+		const measured = this.runTimes(candidates);
+		const medianMs = median([...measured.values()]) ?? defaultRunMs;
+		return ({backendServer, service}) => {
 			const {runMs, runMsAt} = this.#statsOf(backendServer);
-			if (runMs === undefined || medianMs === undefined) {
-				return 1;
+			const usualMs =
+				this.fleetRunTimes(service).get(backendServer) ?? medianMs;
+			if (runMs === undefined) {
+				return usualMs;
 			}
 
 			const confidence = 2 ** (-(now - runMsAt) / readingHalfLifeMs);
-			return 1 + (runMs / medianMs - 1) * confidence;
+			return usualMs + (runMs - usualMs) * confidence;
 		};
 	}
 
@@ -204,7 +272,7 @@
 			stats = {
 				inFlight: 0,
 				others: 0,
-				reportedAt: 0,
+				reportedAt: -Infinity,
 				runMs: undefined,
 				runMsAt: 0,
 				avoidUntil: 0,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -327,6 +327,13 @@
 	type Occupancy,
 	type SendOutcome,
 } from './gateway/server-loads.js';
+export {
+	AnswerLengths,
+	crossingCharge,
+	defaultMsPerKb,
+	type DomainCrossing,
+	type Transfer,
+} from './gateway/domain-crossing.js';
 export {CheckPace} from './gateway/check-pace.js';
 export {connectionShare} from './gateway/connection-share.js';
 export {FleetSize} from './gateway/fleet-size.js';
--- a/packages/core/test/gateway/hold-fleet.ts
+++ b/packages/core/test/gateway/hold-fleet.ts
@@ -5,6 +5,7 @@
 	SeededRandom,
 	ServerHolds,
 	ServerLoads,
+	type DomainCrossing,
 	type ListedServer,
 	type Millis,
 } from '../../src/index.js';
@@ -23,6 +24,16 @@
 	readonly holds: boolean;
 	/** Whether retries prefer servers that have answered lately. */
 	readonly provenRetries: boolean;
+	/** The failure domains of daemons and servers; one if missing. */
+	readonly domains?: DomainPlan;
+};
+
+export type DomainPlan = {
+	/** The share of the requests that arrives in each domain. */
+	readonly arrivals: readonly number[];
+	/** What daemons charge for sending a request to another domain. */
+	readonly chargeMs: Millis;
+	readonly targetMs: Millis;
 };
 
 export type FleetResult = {
@@ -34,8 +45,13 @@
 	readonly refused: number;
 	/** 99th percentile of the time to the answer. */
 	readonly tailMs: Millis;
+	/** Share of the sends that went to another domain. */
+	readonly crossedShare: number;
+	/** Share of the requests that were answered within the target latency. */
+	readonly inTimeShare: number;
 };
 
+const oneDomain: DomainPlan = {arrivals: [1], chargeMs: 0, targetMs: Infinity};
 const slots = 3;
 const queueLen = 6;
 const maxAttempts = 2;
@@ -60,6 +76,7 @@
 	constructor(
 		random: SeededRandom,
 		private readonly provenRetries: boolean,
+		readonly crossing: DomainCrossing,
 	) {
 		this.loads = new ServerLoads(random);
 	}
@@ -78,6 +95,7 @@
 			chooseCandidates(untried, rules, now).servers,
 			now,
 			this.provenRetries && tried.length > 0,
+			this.crossing,
 		);
 	}
 
@@ -90,11 +108,25 @@
 	}
 }
 
+/** The domain in which a request arrives. */
+function domainFor(arrivals: readonly number[], drawn: number): number {
+	let remaining = drawn;
+	return Math.max(
+		0,
+		arrivals.findIndex((share) => {
+			remaining -= share;
+			return remaining < 0;
+		}),
+	);
+}
+
 /** Plays the plan and returns what callers got. */
 export function playFleet(plan: FleetPlan, seed: number): FleetResult {
 	const random = new SeededRandom(seed);
+	const {arrivals, chargeMs, targetMs} = plan.domains ?? oneDomain;
+	const domainOf = (index: number) => `d${index % arrivals.length}`;
 	const servers = Array.from({length: plan.servers}, (_, index) => ({
-		listed: aServer(`s${index}`, {slots}),
+		listed: aServer(`s${index}`, {slots, failureDomain: domainOf(index)}),
 		running: 0,
 		waiting: [],
 		refusesUntil: index < plan.refusing ? plan.refuseMs : 0,
@@ -106,7 +138,10 @@
 	const daemons = Array.from(
 		{length: plan.daemons},
 		(_, index) =>
-			new Daemon(new SeededRandom(seed + index + 1), plan.provenRetries),
+			new Daemon(new SeededRandom(seed + index + 1), plan.provenRetries, {
+				ownDomain: domainOf(index),
+				chargeMs,
+			}),
 	);
 	const events: Event[] = [];
 	let now = 0;
@@ -118,6 +153,8 @@
 
 	let total = 0;
 	let refused = 0;
+	let sends = 0;
+	let crossed = 0;
 	const latencies: Millis[] = [];
 
 	const finish = (server: ModelServer) => {
@@ -135,6 +172,8 @@
 		const name = picked.backendServer;
 		const server = byName.get(name)!;
 		daemon.loads.sent(name);
+		sends++;
+		crossed += picked.failureDomain === daemon.crossing.ownDomain ? 0 : 1;
 		const decline = () => {
 			daemon.loads.ended(name, 'declined', now);
 			send(daemon, sentAt, [...tried, name]);
@@ -188,7 +227,11 @@
 		}
 
 		total++;
-		send(random.pick(daemons)!, now, []);
+		// Daemons alternate between the domains.
+		const domain = domainFor(arrivals, random.fraction());
+		const perDomain = Math.floor(daemons.length / arrivals.length);
+		const daemon = daemons[random.below(perDomain) * arrivals.length + domain];
+		send(daemon, now, []);
 		after((2 * 1000 * random.fraction()) / plan.requestsPerS, arrive);
 	};
 
@@ -208,5 +251,7 @@
 		mostRepeated,
 		refused,
 		tailMs: sorted[Math.floor(sorted.length * 0.99)],
+		crossedShare: crossed / sends,
+		inTimeShare: latencies.filter((ms) => ms <= targetMs).length / total,
 	};
 }
--- a/packages/daemon/src/gateway/gateway-attempt.ts
+++ b/packages/daemon/src/gateway/gateway-attempt.ts
@@ -9,6 +9,7 @@
 	type ListedServer,
 	type Millis,
 	type RoutedService,
+	type RouteRule,
 	type SendOutcome,
 } from '@kingcuproute/core';
 import {
@@ -34,12 +35,15 @@
 /** What is sent, where to, and by when the caller needs its answer. */
 export type GatewayAttemptPlan = {
 	readonly id: string;
+	readonly rule: RouteRule;
 	readonly service: RoutedService;
 	/** Set for services divided by key. */
 	readonly key: number | undefined;
 	/** Version of the configuration that routed the request. */
 	readonly version: number;
 	readonly body: RequestBody;
+	readonly bodyLen: number;
+	readonly arrivedAt: Millis;
 	readonly until: Millis;
 	readonly server: ListedServer;
 	/** 1 for the request's first attempt. */
@@ -77,8 +81,9 @@
 	async run(): Promise<AttemptEnd> {
 		const {picks, connections, clock, log, view, warmth} = this.context;
 		const {id, service, key, version, until, server, number} = this.plan;
+		const now = clock.now();
 		const {backendServer, address} = server;
-		const leftMs = Math.max(1, until - clock.now());
+		const leftMs = Math.max(1, until - now);
 		const dispatcher = connections.to(
 			address,
 			connectionShare(service.connections, view.view.value.daemons),
@@ -93,11 +98,14 @@
 			key,
 			fence: picks.fence(service.service, key),
 			warmth: warmth.of(service, server),
-			load: Number(picks.loads.load(server, clock.now()).toFixed(2)),
+			load: Number(picks.loads.load(server, now).toFixed(2)),
+			domain: server.failureDomain,
+			crossMs: Math.round(picks.crossing(this.plan, now).chargeMs),
 			leftMs: Math.round(leftMs),
 		});
 		picks.loads.sent(backendServer);
 		this.#attempt.send(dispatcher);
+		this.#countMoved(this.plan.bodyLen);
 		const end = await this.#attempt.ended;
 		picks.loads.ended(backendServer, sendOutcome(end), clock.now());
 		if (end.kind === 'answered' && this.#load) {
@@ -188,7 +196,19 @@
 		}
 
 		const len = Number(headers['content-length'] ?? Number.NaN);
-		return {kind: 'pass', bodyLen: Number.isFinite(len) ? len : 0};
+		if (!Number.isFinite(len)) {
+			return {kind: 'pass', bodyLen: 0};
+		}
+
+		picks.answerLengths.record(this.plan.rule, len);
+		this.#countMoved(len);
+		return {kind: 'pass', bodyLen: len};
+	}
+
+	#countMoved(len: number): void {
+		const {metrics, picks} = this.context;
+		const {server} = this.plan;
+		metrics.bytesMoved(picks.isOwnDomain(server) ? 'own' : 'other', len);
 	}
 
 	#headersToForward(): readonly string[] {
--- a/packages/daemon/src/gateway/gateway-exchange.ts
+++ b/packages/daemon/src/gateway/gateway-exchange.ts
@@ -44,6 +44,8 @@
 	/** Set for services divided by key. */
 	readonly key: number | undefined;
 	readonly body: RequestBody;
+	/** The length that the caller stated, or else what has been read. */
+	readonly bodyLen: number;
 	readonly arrivedAt: Millis;
 	/** By when the caller needs its answer. */
 	readonly until: Millis;
@@ -193,7 +195,17 @@
 
 		const key = service.keyed ? this.#readKey() : undefined;
 		const {version} = routes.config;
-		this.#request = {id, rule, service, key, body, arrivedAt, until, version};
+		this.#request = {
+			id,
+			rule,
+			service,
+			key,
+			body,
+			bodyLen: Number(headers['content-length'] ?? body.first.length),
+			arrivedAt,
+			until,
+			version,
+		};
 		return this.#sendUntilAnswered(this.#request);
 	}
 
@@ -221,7 +233,7 @@
 		request: RoutedRequest,
 	): Promise<RequestEnd | undefined> {
 		const {picks, clock, budgets, traffic, warmth, quarantine} = this.context;
-		const {service, key, body} = request;
+		const {rule, service, key, body, bodyLen, arrivedAt} = request;
 		const suspect = new SuspectRequest(quarantine, this.caller.req, {
 			key,
 			body,
@@ -248,7 +260,15 @@
 				});
 			}
 
-			const picked = picks.pick({service, key, tried, lastFailure});
+			const picked = picks.pick({
+				rule,
+				service,
+				bodyLen,
+				arrivedAt,
+				key,
+				tried,
+				lastFailure,
+			});
 			if (picked.isLeft()) {
 				const refusal = picked.extract();
 				if (await this.#waitForOwner(request, refusal)) {
--- a/packages/daemon/src/gateway/gateway-metrics.ts
+++ b/packages/daemon/src/gateway/gateway-metrics.ts
@@ -61,6 +61,13 @@
 		registers: [this.#registry],
 	});
 
+	readonly #bytesMoved = new Counter({
+		name: 'kingcuproute_gateway_server_bytes_total',
+		help: 'Bytes of request and answer bodies exchanged with backend servers, as far as their length is stated, by failure domain: own or other',
+		labelNames: ['domain'] as const,
+		registers: [this.#registry],
+	});
+
 	get contentType(): string {
 		return this.#registry.contentType;
 	}
@@ -100,6 +107,10 @@
 		this.#warmthChecks.inc({outcome});
 	}
 
+	bytesMoved(domain: 'own' | 'other', len: number): void {
+		this.#bytesMoved.inc({domain}, len);
+	}
+
 	serverNotice(notice: 'leaving' | 'hold' | 'malformed'): void {
 		this.#notices.inc({notice});
 	}
--- a/packages/daemon/src/gateway/server-picks.ts
+++ b/packages/daemon/src/gateway/server-picks.ts
@@ -1,16 +1,21 @@
 /** Chooses the backend server for a request's next attempt, or says why there is none. */
 import {
+	AnswerLengths,
 	ColdTokens,
+	crossingCharge,
+	defaultMsPerKb,
 	isHeldBy,
 	maxLoad,
 	rangeOf,
 	ServerLoads,
 	type Clock,
 	type ColdBounds,
+	type DomainCrossing,
 	type ListedServer,
 	type Millis,
 	type Random,
 	type RoutedService,
+	type RouteRule,
 	type Warmth,
 } from '@kingcuproute/core';
 import {type Deployment} from '@kingcuproute/platform';
@@ -23,7 +28,11 @@
 
 /** What the choice of a request's server depends on. */
 export type PickCriteria = {
+	readonly rule: RouteRule;
 	readonly service: RoutedService;
+	/** Length of the request's body, as far as it is known. */
+	readonly bodyLen: number;
+	readonly arrivedAt: Millis;
 	/** Set for services divided by key. */
 	readonly key: number | undefined;
 	/** Servers that the request has been sent to. */
@@ -54,6 +63,7 @@
 @singleton()
 export class ServerPicks {
 	readonly loads: ServerLoads;
+	readonly answerLengths = new AnswerLengths();
 	readonly #coldTokens: ColdTokens;
 
 	constructor(
@@ -79,6 +89,34 @@
 		return table && key !== undefined ? rangeOf(table, key)?.fence : undefined;
 	}
 
+	/** What sending the request to another failure domain is charged. */
+	crossing(
+		{
+			rule,
+			bodyLen,
+			arrivedAt,
+		}: Pick<PickCriteria, 'rule' | 'bodyLen' | 'arrivedAt'>,
+		now: Millis,
+	): DomainCrossing {
+		const {failureDomain, crossDomainMsPerKb} = this.deployment;
+		const {daemons} = this.view.view.value;
+		const transfer = {
+			requestLen: bodyLen,
+			answerLen: this.answerLengths.mean(rule),
+			slackMs: arrivedAt + rule.targetMs - now,
+		};
+		const msPerKb = crossDomainMsPerKb ?? defaultMsPerKb(daemons);
+		return {
+			ownDomain: failureDomain,
+			chargeMs: crossingCharge(transfer, msPerKb),
+		};
+	}
+
+	/** Whether the server is in this daemon's failure domain. */
+	isOwnDomain({failureDomain}: ListedServer): boolean {
+		return failureDomain === this.deployment.failureDomain;
+	}
+
 	pick(criteria: PickCriteria): Either<RequestEnd, Choice> {
 		return criteria.service.keyed
 			? this.#pickOwner(criteria)
@@ -139,16 +177,22 @@
 
 	/** Cold servers get requests only if there are no others, and a few a second from all daemons together. */
 	#chooseByLoad(
-		{service, tried}: PickCriteria,
+		criteria: PickCriteria,
 		servers: readonly ListedServer[],
 	): Either<RequestEnd, Choice> {
+		const {service, tried} = criteria;
 		const now = this.clock.now();
 		const notCold = servers.filter(
 			(server) => this.warmth.of(service, server) !== 'cold',
 		);
 		const candidates = notCold.length > 0 ? notCold : servers;
 		const isRetry = !service.keyed && tried.length > 0;
-		const server = this.loads.choose(candidates, now, isRetry);
+		const server = this.loads.choose(
+			candidates,
+			now,
+			isRetry,
+			this.crossing(criteria, now),
+		);
 		if (!server) {
 			return Left(this.#refusal('overloaded', candidates));
 		}
--- a/packages/platform/src/deployment.ts
+++ b/packages/platform/src/deployment.ts
@@ -26,6 +26,8 @@
 	readonly memoryLen: number;
 	/** Most bytes of bodies in transit that a process buffers. */
 	readonly bufferLen: number;
+	/** Time charged for each KB of a request and its answer that moves between failure domains; undefined if it depends on the size of the deployment. */
+	readonly crossDomainMsPerKb: number | undefined;
 	readonly listen: {
 		/** Listener for callers. */
 		readonly entry: Address;
@@ -106,7 +108,10 @@
 		}),
 	}),
 	/** Settings of our own, which an operator may add to the file. */
-	kingcuproute: table({bufferMb: numeric.optional()}),
+	kingcuproute: table({
+		bufferMb: numeric.optional(),
+		crossDomainMsPerKb: numeric.optional(),
+	}),
 	terms: table({
 		bounds: table({
 			graceS: numeric,
@@ -183,13 +188,14 @@
 }: z.infer<typeof settingsSchema>): Deployment {
 	const {bounds} = terms;
 	const {memoryMb} = self.limits;
-	const {bufferMb = memoryMb * bufferShare} = kingcuproute;
+	const {bufferMb = memoryMb * bufferShare, crossDomainMsPerKb} = kingcuproute;
 	return {
 		vm: self.node,
 		failureDomain: self.zone,
 		region: self.region,
 		memoryLen: memoryMb * megabyteLen,
 		bufferLen: bufferMb * megabyteLen,
+		crossDomainMsPerKb,
 		listen: {
 			entry: network.listen.front,
 			readiness: network.listen.ready,
