Charge bytes between failure domains from 16 daemons on

The default charge took effect from 60 daemons on, so that it was neither in force on the scaled-down copies of the grown deployments (19 daemons) nor on medium ones. The two smallest sites have 11 daemons and two or three servers of a service in a domain, and are served as before.

--- a/packages/core/src/gateway/domain-crossing.ts
+++ b/packages/core/src/gateway/domain-crossing.ts
@@ -23,8 +23,8 @@
 const kilobyteLen = 1024;
 /** The charge takes at most this share of the slack, so that a request still reaches another domain when its own is full. */
 const maxSlackShare = 0.5;
-/** Number of daemons from which on a deployment that sets no charge has one. */
-const largeFleet = 60;
+/** Number of daemons from which on a deployment that sets no charge has one: each failure domain then has several servers of a service. */
+const largeFleet = 16;
 /** Charge of a large deployment, in ms per KB. */
 const largeFleetMsPerKb = 2;
 /** Weight of a new answer in a route's mean length: a dozen answers outweigh all earlier ones. */
--- a/packages/core/test/gateway/domain-crossing.test.ts
+++ b/packages/core/test/gateway/domain-crossing.test.ts
@@ -63,7 +63,7 @@
 	t.is(crossingCharge({...transfer, slackMs: -1}, 2), 0);
 	t.is(crossingCharge({...transfer, slackMs: Infinity}, 2), 200);
 	t.deepEqual(
-		[1, 59, 60, 200].map((daemons) => defaultMsPerKb(daemons)),
+		[1, 15, 16, 200].map((daemons) => defaultMsPerKb(daemons)),
 		[0, 0, 2, 2],
 	);
 });
