--- a/packages/platform/src/deployment.ts
+++ b/packages/platform/src/deployment.ts
@@ -28,6 +28,8 @@
 	readonly bufferLen: number;
 	/** Time charged for each KB of a request and its answer that moves between failure domains; undefined if it depends on the size of the deployment. */
 	readonly crossDomainMsPerKb: number | undefined;
+	/** The share of all keys that may move in a second to even out the load; undefined if the settings don't say. */
+	readonly movedKeysShare: number | undefined;
 	readonly listen: {
 		/** Listener for callers. */
 		readonly entry: Address;
@@ -111,6 +113,7 @@
 	kingcuproute: table({
 		bufferMb: numeric.optional(),
 		crossDomainMsPerKb: numeric.optional(),
+		movedKeysPerS: numeric.optional(),
 	}),
 	terms: table({
 		bounds: table({
@@ -196,6 +199,7 @@
 		memoryLen: memoryMb * megabyteLen,
 		bufferLen: bufferMb * megabyteLen,
 		crossDomainMsPerKb,
+		movedKeysShare: kingcuproute.movedKeysPerS,
 		listen: {
 			entry: network.listen.front,
 			readiness: network.listen.ready,
