Identify customers by API keys on the platform's path

Cause: two customers' configurations list tenants with API keys; the daemon ignored them and passed any Authorization field on to backend servers.

Change: rows of customers are read field by field (customer-rows.ts); a fault never shows a value, and a key that two customers have is nobody's. Requests without a known key get 401 unless their route is public. Servers get the customer's name in X-Kingcuproute-Tenant in place of the key. A customer's priority precedes the route's (CallerAccess.priority, RoutedRequest.priority). With terms.bounds.strictRevoke, a daemon that lost touch with the store refuses keys after revokeMs. Without a list of customers, nothing changes.

--- a/packages/core/src/gateway/route-rule.ts
+++ b/packages/core/src/gateway/route-rule.ts
@@ -25,6 +25,8 @@
 	readonly priority: number;
 	/** Most backend servers to which one request may be sent. */
 	readonly maxAttempts: number;
+	/** Whether callers need no API key. Matters only where the configuration has customers. */
+	readonly isPublic?: boolean;
 	/** Weights sum to more than 0; empty if the configuration names no readable service. */
 	readonly parts: readonly RoutePart[];
 };
@@ -42,6 +44,19 @@
 	readonly keyed: boolean;
 };
 
+/** A customer, the API keys of its callers and its quota over all daemons. */
+export type Customer = {
+	readonly name: string;
+	/** No other customer has any of them. */
+	readonly keys: readonly string[];
+	/** Requests a second; infinite without a quota. */
+	readonly rate: number;
+	/** Requests beyond the rate. */
+	readonly burst: number;
+	/** Precedes the priority of the route; undefined if the customer has none of its own. */
+	readonly priority: number | undefined;
+};
+
 /** Limits on a caller's connection and request. */
 export type CallerLimits = {
 	readonly headerLen: number;
@@ -57,4 +72,6 @@
 	readonly rules: readonly RouteRule[];
 	readonly services: readonly RoutedService[];
 	readonly limits: CallerLimits;
+	/** Undefined if the configuration has no list of customers: callers then need no API key. */
+	readonly customers?: readonly Customer[];
 };
--- a/packages/core/src/gateway/route-table.ts
+++ b/packages/core/src/gateway/route-table.ts
@@ -1,6 +1,7 @@
-/** Finds the route of a request: among the routes of its host, the one with the longest matching path prefix. */
+/** Finds the route of a request, among the routes of its host the one with the longest matching path prefix, and the customer with an API key. */
 import {type Random} from '../chance/random.js';
 import {
+	type Customer,
 	type RoutedService,
 	type RouteRule,
 	type RoutingConfig,
@@ -9,6 +10,7 @@
 export class RouteTable {
 	readonly #hosts = new Map<string, RouteRule[]>();
 	readonly #services: ReadonlyMap<string, RoutedService>;
+	readonly #customers: ReadonlyMap<string, Customer>;
 
 	constructor(readonly config: RoutingConfig) {
 		for (const rule of config.rules) {
@@ -23,6 +25,11 @@
 		this.#services = new Map(
 			config.services.map((service) => [service.service, service]),
 		);
+		this.#customers = new Map(
+			(config.customers ?? []).flatMap((customer) =>
+				customer.keys.map((key) => [key, customer] as const),
+			),
+		);
 	}
 
 	/** The rule for a request with this `host` header field and this path, which may have a query. */
@@ -35,6 +42,11 @@
 			?.find(({pathPrefix}) => pathname.startsWith(pathPrefix));
 	}
 
+	/** The customer with this API key. */
+	customer(key: string): Customer | undefined {
+		return this.#customers.get(key);
+	}
+
 	service(name: string): RoutedService | undefined {
 		return this.#services.get(name);
 	}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -310,8 +310,14 @@
 	type CandidateRules,
 } from './gateway/choose-candidates.js';
 export {serversByService, type ListedServer} from './gateway/listed-server.js';
+export {
+	identifyCaller,
+	type CallerIdentity,
+	type KeyFault,
+} from './gateway/caller-identity.js';
 export {
 	type CallerLimits,
+	type Customer,
 	type RoutePart,
 	type Repeatability,
 	type RoutedService,
--- a/packages/daemon/src/gateway/gateway-attempt.ts
+++ b/packages/daemon/src/gateway/gateway-attempt.ts
@@ -19,6 +19,7 @@
 import {Attempt} from '../requests/attempt.js';
 import {type RequestBody} from '../requests/request-body.js';
 import {closeIfStopping, type CallerExchange} from './caller-exchange.js';
+import {forwardedFields, type CallerAccess} from './caller-access.js';
 import {type ExchangeContext} from './exchange-context.js';
 
 /** Bodies and answers up to this many bytes are held whole: several times the longest uploads of today's sites. */
@@ -39,6 +40,7 @@
 	readonly key: number | undefined;
 	/** Version of the configuration that routed the request. */
 	readonly version: number;
+	readonly access: CallerAccess;
 	readonly body: RequestBody;
 	readonly until: Millis;
 	readonly server: ListedServer;
@@ -193,11 +195,12 @@
 
 	#headersToForward(): readonly string[] {
 		const all = forwardedHeaders(this.caller.req.rawHeaders);
-		return all.flatMap((text, index) =>
+		const kept = all.flatMap((text, index) =>
 			index % 2 === 0 && !ownHeaders.has(text.toLowerCase())
 				? [text, all[index + 1]]
 				: [],
 		);
+		return forwardedFields(this.plan.access, kept);
 	}
 }
 
--- a/packages/daemon/src/gateway/gateway-exchange.ts
+++ b/packages/daemon/src/gateway/gateway-exchange.ts
@@ -17,6 +17,7 @@
 } from '@kingcuproute/core';
 import {requestFields} from '@kingcuproute/platform';
 import {RequestBody} from '../requests/request-body.js';
+import {accessOf, type CallerAccess} from './caller-access.js';
 import {closeIfStopping, type CallerExchange} from './caller-exchange.js';
 import {type ExchangeContext} from './exchange-context.js';
 import {endAfterFailure, sendEnd, type RequestEnd} from './request-end.js';
@@ -41,6 +42,9 @@
 	readonly id: string;
 	readonly rule: RouteRule;
 	readonly service: RoutedService;
+	readonly access: CallerAccess;
+	/** The customer's, or else the route's; 0 is the most urgent. */
+	readonly priority: number;
 	/** Set for services divided by key. */
 	readonly key: number | undefined;
 	readonly body: RequestBody;
@@ -157,6 +161,12 @@
 			return {reason: 'no-route', notRun: true};
 		}
 
+		const allowed = accessOf(this.context, routes, rule, this.caller.req);
+		if (allowed.isLeft()) {
+			return allowed.extract();
+		}
+
+		const access = allowed.unsafeCoerce();
 		const service = routes.service(drawService(rule, random) ?? '');
 		if (!service) {
 			return {
@@ -193,7 +203,18 @@
 
 		const key = service.keyed ? this.#readKey() : undefined;
 		const {version} = routes.config;
-		this.#request = {id, rule, service, key, body, arrivedAt, until, version};
+		this.#request = {
+			id,
+			rule,
+			service,
+			access,
+			priority: access.priority,
+			key,
+			body,
+			arrivedAt,
+			until,
+			version,
+		};
 		return this.#sendUntilAnswered(this.#request);
 	}
 
--- a/packages/daemon/src/gateway/gateway-metrics.ts
+++ b/packages/daemon/src/gateway/gateway-metrics.ts
@@ -1,5 +1,5 @@
 /** Metrics of the daemon on the platform, served beside the readiness checks. The configuration and the code limit the number of label values. */
-import {type Millis} from '@kingcuproute/core';
+import {type KeyFault, type Millis} from '@kingcuproute/core';
 import {Counter, Histogram, Registry} from 'prom-client';
 import {singleton} from 'tsyringe';
 
@@ -61,6 +61,20 @@
 		registers: [this.#registry],
 	});
 
+	readonly #refusedKeys = new Counter({
+		name: 'kingcuproute_gateway_refused_keys_total',
+		help: 'Requests refused for their API key: missing, malformed or unknown',
+		labelNames: ['cause'] as const,
+		registers: [this.#registry],
+	});
+
+	readonly #customerRequests = new Counter({
+		name: 'kingcuproute_gateway_customer_requests_total',
+		help: 'Requests of customers with a quota: admitted, or refused as over-quota',
+		labelNames: ['customer', 'outcome'] as const,
+		registers: [this.#registry],
+	});
+
 	get contentType(): string {
 		return this.#registry.contentType;
 	}
@@ -92,6 +106,14 @@
 		this.#storeCalls.inc({kind, call});
 	}
 
+	keyRefused(cause: KeyFault): void {
+		this.#refusedKeys.inc({cause});
+	}
+
+	quotaApplied(customer: string, outcome: 'admitted' | 'over-quota'): void {
+		this.#customerRequests.inc({customer, outcome});
+	}
+
 	warmthChanged(warmth: 'cold' | 'warm'): void {
 		this.#warmthChanges.inc({warmth});
 	}
--- a/packages/daemon/src/gateway/request-end.ts
+++ b/packages/daemon/src/gateway/request-end.ts
@@ -10,6 +10,12 @@
 	| 'no-service'
 	| 'bad-request'
 	| 'too-large'
+	/** The request has no API key that a customer has. */
+	| 'unauthorized'
+	/** The store may have withdrawn API keys without this daemon's knowledge. */
+	| 'keys-outdated'
+	/** The customer has used up its quota. */
+	| 'over-quota'
 	| 'no-server'
 	| 'no-owner'
 	| 'overloaded'
@@ -35,6 +41,8 @@
 	readonly retryAfterMs?: Millis;
 	/** For the log: the state of the least loaded server, if all were full or cold. */
 	readonly full?: Readonly<Record<string, string | number>>;
+	/** For the log: what is wrong with the API key. */
+	readonly cause?: string;
 };
 
 const secondMs: Millis = 1000;
@@ -45,6 +53,8 @@
 	'no-route': 404,
 	'bad-request': 400,
 	'too-large': 413,
+	unauthorized: 401,
+	'over-quota': 429,
 };
 const unavailableStatus = 503;
 const badGatewayStatus = 502;
@@ -72,6 +82,10 @@
 		headers['retry-after'] = (retryAfterMs / secondMs).toFixed(3);
 	}
 
+	if (reason === 'unauthorized') {
+		headers['www-authenticate'] = 'Bearer';
+	}
+
 	res.writeHead(statusOf(end), headers);
 	res.end(JSON.stringify({reason, notRun: end.notRun}));
 }
--- a/packages/daemon/src/gateway/view-task.ts
+++ b/packages/daemon/src/gateway/view-task.ts
@@ -90,6 +90,8 @@
 	/** For the followers of this daemon, also those of other tasks. */
 	readonly checkPace: CheckPace;
 	readonly #servers: KindFollower;
+	readonly #config: KindFollower;
+	readonly #revokeMs: Millis;
 	readonly #gatherServersMs: Millis;
 	readonly #followers: readonly KindFollower[];
 	#evacuated: ReadonlySet<string> = new Set();
@@ -125,6 +127,8 @@
 		crashReports.slow = true;
 		crashReports.gatherMs = gatherReportsMs;
 		this.#servers = servers;
+		this.#config = config;
+		this.#revokeMs = bounds.revokeMs;
 		this.#gatherServersMs = bounds.drainMs * gatherServersShare;
 		servers.gatherMs = this.#gatherServersMs;
 		rangeTables.gatherMs = gatherTablesMs;
@@ -220,6 +224,19 @@
 		);
 	}
 
+	/**
+	 * Whether API keys may have been revoked long enough ago without this daemon's
+	 * knowledge that it must accept none: a call to the store has failed since the
+	 * configuration was last confirmed, and the settings bound that time.
+	 */
+	get mayKeysBeOutdated(): boolean {
+		const {lastSuccessAt} = this.#config;
+		return (
+			this.contact.lastFailureAt > lastSuccessAt &&
+			this.clock.now() - lastSuccessAt > this.#revokeMs
+		);
+	}
+
 	/** To be called when a key has no owner in the range tables, or its owner did not answer a request or does not hold it. */
 	suspectRangeTables(): void {
 		this.rangeTableObjects.hurry();
--- a/packages/platform/src/deployment.ts
+++ b/packages/platform/src/deployment.ts
@@ -58,6 +58,12 @@
 		/** A cold server bears, in one second, `coldFactor` times its rate and `coldSlack` requests, from all daemons together. */
 		readonly coldFactor: number;
 		readonly coldSlack: number;
+		/** In any `quotaWindowMs`, a customer's requests may exceed its quota by the share `quotaExcess` of it, and by `quotaSlack` requests, over all daemons. */
+		readonly quotaWindowMs: Millis;
+		readonly quotaExcess: number;
+		readonly quotaSlack: number;
+		/** How long API keys count whose revocation this daemon may have missed because the store did not answer; Infinity without that bound. */
+		readonly revokeMs: Millis;
 	};
 };
 
@@ -67,6 +73,11 @@
 const defaultOutdatedMs: Millis = 3000;
 const defaultColdFactor = 1.5;
 const defaultColdSlack = 5;
+const defaultQuotaWindowS = 5;
+const defaultQuotaExcess = 0.1;
+const defaultQuotaSlack = 20;
+/** Where revocations are strict and no time is stated: as long as a configuration takes to be in force. */
+const defaultRevokeMs: Millis = 3000;
 const megabyteLen = 1_048_576;
 /** Share of a machine's memory for bodies in transit, if the settings don't say; the runtime needs the rest. */
 const bufferShare = 0.1;
@@ -75,6 +86,13 @@
 	.string()
 	.regex(/^\d+(\.\d+)?$/, 'expected a number')
 	.transform(Number);
+const positive = numeric.refine(
+	(number) => number > 0,
+	'expected a number above 0',
+);
+const flag = z
+	.enum(['0', '1', 'false', 'true'])
+	.transform((text) => text === '1' || text === 'true');
 const address = z
 	.string()
 	.regex(/^[^:\s]+:\d{1,5}$/, 'expected HOST:PORT')
@@ -118,6 +136,11 @@
 			budgetWindowS: numeric,
 			coldOver: numeric.optional(),
 			coldSlack: numeric.optional(),
+			quotaWindowS: positive.optional(),
+			quotaExcess: numeric.optional(),
+			quotaSlack: numeric.optional(),
+			strictRevoke: flag.optional(),
+			revokeMs: numeric.optional(),
 		}),
 	}),
 });
@@ -210,6 +233,12 @@
 			retryWindowMs: bounds.budgetWindowS * secondMs,
 			coldFactor: bounds.coldOver ?? defaultColdFactor,
 			coldSlack: bounds.coldSlack ?? defaultColdSlack,
+			quotaWindowMs: (bounds.quotaWindowS ?? defaultQuotaWindowS) * secondMs,
+			quotaExcess: bounds.quotaExcess ?? defaultQuotaExcess,
+			quotaSlack: bounds.quotaSlack ?? defaultQuotaSlack,
+			revokeMs: bounds.strictRevoke
+				? (bounds.revokeMs ?? defaultRevokeMs)
+				: Infinity,
 		},
 	};
 }
--- a/packages/platform/src/field-reader.ts
+++ b/packages/platform/src/field-reader.ts
@@ -25,6 +25,22 @@
 		);
 	}
 
+	/** Reads as `read`, but a fault does not show the value, which may hold a secret. */
+	readConcealed<T>(
+		path: string,
+		schema: z.ZodType<T>,
+		value: unknown,
+		fallback: T,
+	): T {
+		const parsed = schema.safeParse(value);
+		if (parsed.success) {
+			return parsed.data;
+		}
+
+		this.report(path, parsed.error.issues[0].message);
+		return fallback;
+	}
+
 	/** Lists a fault that no schema of a single field expresses. */
 	report(path: string, message: string): void {
 		this.#faults.push({path, message});
--- a/packages/platform/src/request-fields.ts
+++ b/packages/platform/src/request-fields.ts
@@ -8,6 +8,10 @@
 	/** The only server that may run the request; any other answers 421. */
 	expectedServer: 'x-kingcuproute-expect-instance',
 	key: 'x-kingcuproute-shard-key',
+	/** The name of the customer whose request it is. Only daemons set it. */
+	customer: 'x-kingcuproute-tenant',
+	/** The caller's API key. Only callers send it. */
+	authorization: 'authorization',
 } as const;
 
 export const answerFields = {
--- a/packages/platform/src/routing-document.ts
+++ b/packages/platform/src/routing-document.ts
@@ -4,7 +4,8 @@
  * Only an unreadable version, or a list of routes or services that is missing, makes the
  * whole document unusable. Anything else that can't be read is replaced by its most
  * cautious reading: a route of an unknown kind is never retried, one without a readable
- * service is refused, and a service with an unreadable limit gets the least.
+ * service is refused, and a service with an unreadable limit gets the least. The rows of
+ * customers are read in customer-rows.ts.
  */
 import {
 	validate,
@@ -16,7 +17,10 @@
 	type RoutingConfig,
 	type Validated,
 } from '@kingcuproute/core';
+import {Left} from 'purify-ts';
 import {z} from 'zod';
+import {columnar, rowsOf, type Row} from './columnar-rows.js';
+import {readCustomers} from './customer-rows.js';
 import {FieldReader} from './field-reader.js';
 
 /** The object that holds the complete latest configuration. */
@@ -44,11 +48,6 @@
 	idleMs: 30_000,
 };
 
-const columnar = z.object({
-	columns: z.array(z.unknown()),
-	rows: z.array(z.unknown()),
-});
-
 const part = z.object({
 	service: z.string(),
 	weight: z.number().nonnegative(),
@@ -65,6 +64,7 @@
 	routes: columnar,
 	services: columnar,
 	limits: z.unknown(),
+	tenants: z.unknown().optional(),
 });
 
 const positive = z.number().positive();
@@ -80,11 +80,15 @@
 	.string()
 	.regex(/^\P{Cs}+$/u, 'expected well-formed Unicode');
 
-type Row = Readonly<Record<string, unknown>>;
-
 /** Parses the configuration in the object's body. */
 export function parseRoutingConfig(spec: unknown): Validated<RoutingReading> {
-	return validate(document, spec).map(({version, routes, services, limits}) => {
+	if (typeof spec !== 'object' || spec === null || Array.isArray(spec)) {
+		// The message of a schema would show the value, which may contain API keys.
+		return Left([{path: '(root)', message: 'expected an object'}]);
+	}
+
+	return validate(document, spec).map((read) => {
+		const {version, routes, services, limits, tenants} = read;
 		const reader = new FieldReader();
 		const rules = rowsOf(reader, 'routes', routes).flatMap(
 			([path, row]) => readRule(reader, path, row) ?? [],
@@ -96,36 +100,12 @@
 				([path, row]) => readService(reader, path, row) ?? [],
 			),
 			limits: readLimits(reader, limits),
+			customers: readCustomers(reader, tenants),
 		};
 		return {config, faults: reader.faults};
 	});
 }
 
-/** One object for each row, with its path; null in a row stands for an absent field. */
-function rowsOf(
-	reader: FieldReader,
-	list: string,
-	{columns, rows}: z.infer<typeof columnar>,
-): ReadonlyArray<readonly [string, Row]> {
-	const names = columns.map((column, index) =>
-		reader.read(`${list}.columns.${index}`, text, column, ''),
-	);
-	return rows.flatMap((row, index) => {
-		const path = `${list}.${index}`;
-		const values = reader.read(path, z.array(z.unknown()), row, []);
-		return Array.isArray(row) ? [[path, objectOf(names, values)] as const] : [];
-	});
-}
-
-function objectOf(names: readonly string[], values: readonly unknown[]): Row {
-	return Object.fromEntries(
-		names.flatMap((name, index) => {
-			const value = values[index] ?? undefined;
-			return value === undefined ? [] : [[name, value]];
-		}),
-	);
-}
-
 /** Undefined if the row doesn't say which requests the route is for. */
 function readRule(
 	reader: FieldReader,
@@ -150,6 +130,7 @@
 		targetMs: field('targetLatencyMs', positive, timeoutMs),
 		priority: field('priority', z.number().int().nonnegative(), lastPriority),
 		maxAttempts: field('maxAttempts', count, 1),
+		isPublic: field('public', z.boolean().optional(), undefined) ?? false,
 		parts: readParts(reader, path, row),
 	};
 }
