Follow the store through watchers of the failure domain

Cause: each daemon follows six kinds of object in the store by itself, and every call is charged. Change: in a domain with four registered daemons or more, one in 16 follows the store and the others read from it over gRPC, with fallback to other watchers and then to the store. Answers carry how long ago the store was heard and failed, so that entries are judged as before. Daemons' entries hold address and capacity; an entry of a former run with other content is replaced. First lists accept old data where peers are set up.

--- a/packages/core/src/gateway/check-pace.ts
+++ b/packages/core/src/gateway/check-pace.ts
@@ -17,7 +17,10 @@
 
 	#lastCheckAt: Millis = -Infinity;
 
-	private constructor(private readonly gapMs: Millis) {}
+	private constructor(
+		/** Without a check of some poll for longer than this, the next is due; a daemon that others read from checks more often. */
+		public gapMs: Millis,
+	) {}
 
 	/** Records that a check of any poll begins. */
 	begin(now: Millis): void {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -296,6 +296,20 @@
 export {partitionPoint} from './gateway/partition-point.js';
 export {planLoadMoves} from './gateway/load-plan.js';
 export {chooseStandbys, type RegisteredDaemon} from './gateway/standbys.js';
+export {
+	choosePeers,
+	chooseWatchers,
+	hasWatchers,
+	type PeerEntry,
+	type Watcher,
+} from './gateway/watchers.js';
+export {
+	KindHistory,
+	type HistoryChanges,
+	type Revised,
+} from './gateway/kind-history.js';
+export {KindPosition} from './gateway/kind-position.js';
+export {PeerStanding, type PeerFault} from './gateway/peer-standing.js';
 export {RetryAllowance, type RetryBounds} from './gateway/retry-allowance.js';
 export {CrashLosses} from './gateway/crash-losses.js';
 export {CrashReports, type CrashEvent} from './gateway/crash-reports.js';
--- a/packages/daemon/src/gateway/gateway-metrics.ts
+++ b/packages/daemon/src/gateway/gateway-metrics.ts
@@ -1,5 +1,5 @@
 /** Metrics of the daemon on the platform, served beside the readiness checks. The configuration and the code limit the number of label values. */
-import {type Millis} from '@kingcuproute/core';
+import {type Millis, type PeerFault} from '@kingcuproute/core';
 import {Counter, Histogram, Registry} from 'prom-client';
 import {singleton} from 'tsyringe';
 
@@ -61,6 +61,26 @@
 		registers: [this.#registry],
 	});
 
+	readonly #reads = new Counter({
+		name: 'kingcuproute_gateway_reads_total',
+		help: 'Readings of kinds of object that the daemon follows, by source: a peer or the store',
+		labelNames: ['source'] as const,
+		registers: [this.#registry],
+	});
+
+	readonly #peerFaults = new Counter({
+		name: 'kingcuproute_gateway_peer_faults_total',
+		help: 'Peers that were not fit to read from: silent, not-current or store-fails',
+		labelNames: ['fault'] as const,
+		registers: [this.#registry],
+	});
+
+	readonly #storeFallbacks = new Counter({
+		name: 'kingcuproute_gateway_store_fallbacks_total',
+		help: 'Changes from peers to the store because no peer was fit to read from',
+		registers: [this.#registry],
+	});
+
 	get contentType(): string {
 		return this.#registry.contentType;
 	}
@@ -92,6 +112,18 @@
 		this.#storeCalls.inc({kind, call});
 	}
 
+	readFrom(source: 'peer' | 'store'): void {
+		this.#reads.inc({source});
+	}
+
+	peerFailed(fault: PeerFault): void {
+		this.#peerFaults.inc({fault});
+	}
+
+	fellBackToStore(): void {
+		this.#storeFallbacks.inc();
+	}
+
 	warmthChanged(warmth: 'cold' | 'warm'): void {
 		this.#warmthChanges.inc({warmth});
 	}
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -25,6 +25,8 @@
 import {GatewayMetrics} from './gateway-metrics.js';
 import {KeepersTask} from './keepers-task.js';
 import {ObservedStore} from './observed-store.js';
+import {RelayedStore} from './relayed-store.js';
+import {RelayTask} from './relay-task.js';
 import {StoreContact} from './store-contact.js';
 import {TrafficTask} from './traffic-task.js';
 import {ViewTask} from './view-task.js';
@@ -36,6 +38,7 @@
 	readonly #keepers: KeepersTask;
 	readonly #view: ViewTask;
 	readonly #traffic: TrafficTask;
+	readonly #relay: RelayTask;
 	readonly #log: Log;
 
 	constructor(private readonly deployment: Deployment) {
@@ -45,18 +48,28 @@
 		this.#log = Log.to({level: 'info', routingSample: 1}, {vm});
 		child.registerInstance('Deployment', deployment);
 		child.registerInstance<Clock>('Clock', clock);
-		child.registerInstance<Random>(
-			'Random',
-			new SeededRandom(randomInt(maxSeed)),
-		);
+		const random = new SeededRandom(randomInt(maxSeed));
+		child.registerInstance<Random>('Random', random);
 		child.registerInstance(Log, this.#log);
-		child.registerInstance<ObjectStore>(
-			'Store',
-			new ObservedStore(
-				new HttpObjectStore(deployment.store.address, clock),
-				child.resolve(GatewayMetrics),
-				child.resolve(StoreContact),
-			),
+		const metrics = child.resolve(GatewayMetrics);
+		const contact = child.resolve(StoreContact);
+		const store = new ObservedStore(
+			new HttpObjectStore(deployment.store.address, clock),
+			metrics,
+			contact,
+		);
+		child.registerInstance<ObjectStore>('Store', store);
+		child.registerInstance(
+			RelayedStore,
+			new RelayedStore({
+				store,
+				contact,
+				clock,
+				random,
+				metrics,
+				log: this.#log,
+				startsStale: deployment.peer !== undefined,
+			}),
 		);
 		child.registerInstance<HealthChecks>(
 			'HealthChecks',
@@ -67,11 +80,13 @@
 		this.#entry = child.resolve(GatewayEntryTask);
 		this.#keepers = child.resolve(KeepersTask);
 		this.#traffic = child.resolve(TrafficTask);
+		this.#relay = child.resolve(RelayTask);
 		this.#log.info('starting', {failureDomain});
 	}
 
 	async start(): Promise<void> {
 		await this.#entry.start();
+		await this.#relay.start();
 		await this.#view.start();
 		await this.#keepers.start();
 		await this.#traffic.start();
@@ -103,6 +118,7 @@
 		await Promise.all([this.#keepers.stop(), this.#entry.stop()]);
 		await this.#traffic.stop();
 		await this.#view.stop();
+		await this.#relay.stop();
 		this.#log.info('stopped');
 	}
 }
--- a/packages/daemon/src/gateway/keepers-task.ts
+++ b/packages/daemon/src/gateway/keepers-task.ts
@@ -1,4 +1,5 @@
 /** Runs a keeper for each service divided by key, and registers this daemon with the others. */
+import {isDeepStrictEqual} from 'node:util';
 import {
 	reportExpiryMs,
 	type Clock,
@@ -7,10 +8,12 @@
 } from '@kingcuproute/core';
 import {
 	daemonsKind,
+	daemonSpec,
 	keepersKind,
 	errorText,
 	type Deployment,
 	type KeyOrders,
+	type ObjectError,
 	type ObjectStore,
 } from '@kingcuproute/platform';
 import {inject, singleton} from 'tsyringe';
@@ -125,20 +128,37 @@
 
 	/** Adds this daemon to the list of those that share the backend servers. */
 	async #register(): Promise<void> {
-		const {vm, failureDomain} = this.deployment;
+		const {vm} = this.deployment;
+		const spec = daemonSpec(this.deployment);
+		let revision: number | undefined;
 		while (!this.#stopped) {
 			const written = await this.store.write({
 				kind: daemonsKind,
 				name: vm,
-				revision: undefined,
-				spec: {failureDomain},
+				revision,
+				spec,
 			});
-			const error = written.isLeft() ? written.extract() : undefined;
-			// The entry of a former run on this VM has the same content.
-			if (!error || error.kind === 'conflict') {
+			if (written.isRight()) {
 				return;
 			}
 
+			const error = written.extract() as ObjectError;
+			if (error.kind === 'conflict') {
+				// A former run on this VM has left its entry.
+				const {held} = error;
+				if (isDeepStrictEqual(held?.spec, spec)) {
+					return;
+				}
+
+				if (!held) {
+					await this.store.remove(daemonsKind, vm);
+				}
+
+				revision = held?.revision;
+				continue;
+			}
+
+			revision = undefined;
 			this.log.warn('not-registered', {error: errorText(error)});
 			await this.clock.sleep(this.random.jitter(registerRetryMs));
 		}
--- a/packages/daemon/src/gateway/kind-follower.ts
+++ b/packages/daemon/src/gateway/kind-follower.ts
@@ -16,6 +16,7 @@
 	type ObjectChanges,
 	type ObjectError,
 	type ObjectStore,
+	type RelayedReading,
 	type StoredObject,
 } from '@kingcuproute/platform';
 import {type Either} from 'purify-ts';
@@ -67,6 +68,10 @@
 	#lastFailureAt: Millis = -Infinity;
 	#lastSuccessAt: Millis = -Infinity;
 	#revision: number | undefined;
+	/** Whether the next reading comes from a peer, so that it costs the store no call. */
+	#isRelayed = false;
+	#wantsRefresh = false;
+	#endWatch: (() => void) | undefined;
 	#isUp: boolean | undefined;
 	#stopped = false;
 	/** Names of objects that cannot be read, so that each is logged once. */
@@ -87,10 +92,22 @@
 		return this.#lastSuccessAt;
 	}
 
+	/** The newest revision as of which the objects are known; undefined while they have to be listed. */
+	get revision(): number | undefined {
+		return this.#revision;
+	}
+
 	start(): void {
 		void this.#run();
 	}
 
+	/** Asks the store at once for the present revision, because a peer has a later one. */
+	refresh(): void {
+		this.#wantsRefresh = true;
+		this.#endWatch?.();
+		this.hurry();
+	}
+
 	/** Ends the pause after a change early, because the objects seem to be outdated. */
 	hurry(): void {
 		this.#isUrgent = true;
@@ -103,9 +120,11 @@
 
 	async #run(): Promise<void> {
 		while (!this.#stopped) {
-			const isSlow = this.slow && this.objects.value !== undefined;
+			let isSlow =
+				this.slow && this.objects.value !== undefined && !this.#isRelayed;
 			if (isSlow) {
 				await this.#untilNextList();
+				isSlow = !this.#wantsRefresh;
 			}
 
 			const wasUp = this.#isUp;
@@ -114,12 +133,17 @@
 			// A first failure may be that of the connection alone.
 			if (error !== undefined && !wasUp) {
 				await this.context.clock.sleep(this.context.random.jitter(retryMs));
-			} else if (error === undefined && this.#hadChanges && this.gatherMs > 0) {
+			} else if (error === undefined && this.#hadChanges && this.#mayGather) {
 				await this.#gather();
 			}
 		}
 	}
 
+	/** A peer has gathered changes already. */
+	get #mayGather(): boolean {
+		return this.gatherMs > 0 && !this.#isRelayed;
+	}
+
 	/** Lets changes gather at the store for `gatherMs`, or less if somebody needs them. */
 	async #gather(): Promise<void> {
 		const {clock} = this.context;
@@ -150,7 +174,12 @@
 	async #untilNextList(): Promise<void> {
 		const {clock, random} = this.context;
 		const until = clock.now() + random.jitter(slowListMs);
-		while (this.slow && !this.#stopped && clock.now() < until) {
+		while (
+			this.slow &&
+			!this.#stopped &&
+			!this.#wantsRefresh &&
+			clock.now() < until
+		) {
 			await clock.sleep(paceCheckMs);
 		}
 	}
@@ -160,7 +189,7 @@
 		return fold(
 			listing,
 			(error): string | undefined => errorText(error),
-			({revision, objects, unreadable = []}) => {
+			({revision, objects, unreadable = [], relay}) => {
 				if (revision < (this.#revision ?? 0)) {
 					return undefined;
 				}
@@ -169,7 +198,7 @@
 				this.#unreadable = new Set(unreadable);
 
 				this.#revision = revision;
-				this.#lastSuccessAt = this.context.clock.now();
+				this.#confirm(relay);
 				this.objects.publish(
 					new Map(objects.map((object) => [object.name, object])),
 				);
@@ -178,13 +207,16 @@
 		);
 	}
 
+	/** Records when the objects were last confirmed: now, unless the reading was relayed. */
+	#confirm(relay: RelayedReading | undefined): void {
+		const confirmedAt = relay?.confirmedAt ?? this.context.clock.now();
+		this.#lastSuccessAt = Math.max(this.#lastSuccessAt, confirmedAt);
+		this.#isRelayed = relay?.byPeer ?? false;
+	}
+
 	async #watch(since: number): Promise<string | undefined> {
-		const {store} = this.context;
 		this.#hadChanges = false;
-		const changeList =
-			this.#isUp === false
-				? await store.watch(this.kind, since, probeMs)
-				: await this.#checkedWatch(since);
+		const changeList = await this.#nextChanges(since);
 		if (!changeList) {
 			return undefined;
 		}
@@ -199,9 +231,9 @@
 
 				return error.kind === 'expired' ? undefined : errorText(error);
 			},
-			({revision, changes, unreadable = []}) => {
+			({revision, changes, unreadable = [], relay}) => {
 				this.#revision = Math.max(since, revision);
-				this.#lastSuccessAt = this.context.clock.now();
+				this.#confirm(relay);
 				this.#logUnreadable(unreadable);
 				this.#unreadable = new Set([...this.#unreadable, ...unreadable]);
 				this.#hadChanges = changes.length > 0;
@@ -223,6 +255,18 @@
 		);
 	}
 
+	async #nextChanges(since: number): Promise<ChangeList | undefined> {
+		const {store} = this.context;
+		if (this.#wantsRefresh) {
+			this.#wantsRefresh = false;
+			return store.watch(this.kind, since, 0);
+		}
+
+		return this.#isUp === false
+			? store.watch(this.kind, since, probeMs)
+			: this.#checkedWatch(since);
+	}
+
 	/**
 	 * A long poll, given up with undefined if a check shows that it has missed a change. A
 	 * check that fails ends it as well: its connection may have been lost at the same time.
@@ -259,7 +303,13 @@
 		};
 
 		const watched = watch();
-		return Promise.race([watched, check(watched)]);
+		const ended = new Promise<undefined>((resolve) => {
+			this.#endWatch = () => {
+				hasEnded = true;
+				resolve(undefined);
+			};
+		});
+		return Promise.race([watched, check(watched), ended]);
 	}
 
 	/** Waits until the long poll is due for a check, or is seen to be over. */
--- a/packages/daemon/src/gateway/store-contact.ts
+++ b/packages/daemon/src/gateway/store-contact.ts
@@ -11,6 +11,7 @@
 export class StoreContact {
 	readonly absence: StoreAbsence;
 	#lastFailureAt: Millis = -Infinity;
+	#lastAnswerAt: Millis = -Infinity;
 
 	constructor(
 		@inject('Clock') private readonly clock: Clock,
@@ -24,6 +25,24 @@
 		return this.#lastFailureAt;
 	}
 
+	/** When a call of this daemon, or of the peer that it reads from, was last answered; -Infinity if none was. */
+	get lastAnswerAt(): Millis {
+		return this.#lastAnswerAt;
+	}
+
+	/** Whether the last call that says something about the store failed. */
+	get isFailing(): boolean {
+		return this.#lastFailureAt > this.#lastAnswerAt;
+	}
+
+	/** Records when calls of the peer that this daemon reads from were last answered and failed. */
+	heardOf(answeredAt: Millis, failedAt: Millis): void {
+		this.#lastFailureAt = Math.max(this.#lastFailureAt, failedAt);
+		if (answeredAt > this.#lastAnswerAt) {
+			this.#answered(answeredAt);
+		}
+	}
+
 	/**
 	 * Resolves with the outcome of `call`, recorded. An object that is missing, or at
 	 * another revision, is an answer. A call that has lasted for `outdatedMs` says how the
@@ -37,13 +56,18 @@
 		const outcome = await call;
 		const now = this.clock.now();
 		if (!isFailure(outcome)) {
-			this.absence.answered(now);
+			this.#answered(now);
 		} else if (now - startedAt < outdatedMs) {
 			this.#lastFailureAt = now;
 		}
 
 		return outcome;
 	}
+
+	#answered(at: Millis): void {
+		this.#lastAnswerAt = at;
+		this.absence.answered(at);
+	}
 }
 
 function isFailure(outcome: Either<ObjectError, unknown>): boolean {
--- a/packages/daemon/src/gateway/view-task.ts
+++ b/packages/daemon/src/gateway/view-task.ts
@@ -10,6 +10,7 @@
 	type Clock,
 	type ListedServer,
 	type Millis,
+	type PeerEntry,
 	type Random,
 	type RangeTable,
 } from '@kingcuproute/core';
@@ -26,7 +27,6 @@
 	rangeTablesKind,
 	serversKind,
 	type Deployment,
-	type ObjectStore,
 } from '@kingcuproute/platform';
 import {inject, singleton} from 'tsyringe';
 import {Log} from '../log/log.js';
@@ -35,6 +35,7 @@
 import {GatewayMetrics} from './gateway-metrics.js';
 import {KindFollower, type Objects} from './kind-follower.js';
 import {ObjectReader} from './object-reader.js';
+import {RelayedStore} from './relayed-store.js';
 import {StoreContact} from './store-contact.js';
 
 /** All state that routing reads, as of the newest change. */
@@ -49,6 +50,8 @@
 	readonly rangeTables: ReadonlyMap<string, RangeTable>;
 	/** Number of daemons that share the backend servers; at least one. */
 	readonly daemons: number;
+	/** The daemons that have registered, as far as their entries can be read. */
+	readonly entries: readonly PeerEntry[];
 	/** The VMs of the daemons that watch every beat of the keepers. */
 	readonly standbys: ReadonlySet<string>;
 };
@@ -79,6 +82,7 @@
 	domainsOut: new Set(),
 	rangeTables: new Map(),
 	daemons: 1,
+	entries: [],
 	standbys: new Set(),
 };
 
@@ -87,18 +91,19 @@
 	readonly view = new Topic<GatewayView>(emptyView);
 	readonly rangeTableObjects: KindFollower;
 	readonly crashReportObjects: KindFollower;
+	/** By kind of object. */
+	readonly followers: ReadonlyMap<string, KindFollower>;
 	/** For the followers of this daemon, also those of other tasks. */
 	readonly checkPace: CheckPace;
 	readonly #servers: KindFollower;
 	readonly #gatherServersMs: Millis;
-	readonly #followers: readonly KindFollower[];
 	#evacuated: ReadonlySet<string> = new Set();
 	readonly #lapseHold = new LapseHold();
 	readonly #fleetSize = new FleetSize();
 	readonly #reader: ObjectReader;
 
 	constructor(
-		@inject('Store') store: ObjectStore,
+		@inject(RelayedStore) private readonly store: RelayedStore,
 		@inject(StoreContact) private readonly contact: StoreContact,
 		@inject('Deployment') {bounds}: Deployment,
 		@inject('Clock') private readonly clock: Clock,
@@ -131,14 +136,14 @@
 		rangeTables.minGatherMs = minGatherTablesMs;
 		// One daemon more or less changes the other daemons' shares only a little.
 		daemons.slow = true;
-		this.#followers = [
-			config,
-			servers,
-			evacuations,
-			rangeTables,
-			daemons,
-			crashReports,
-		];
+		this.followers = new Map([
+			[configKind, config],
+			[serversKind, servers],
+			[evacuationsKind, evacuations],
+			[rangeTablesKind, rangeTables],
+			[daemonsKind, daemons],
+			[crashReportsKind, crashReports],
+		]);
 		config.objects.subscribe((objects) => {
 			this.#updateConfig(objects);
 		});
@@ -168,20 +173,18 @@
 			this.#update({rangeTables: new Map([...known, ...tables])});
 		});
 		daemons.objects.subscribe((objects) => {
-			const daemons = this.#reader.readAll(
+			const entries = this.#reader.readAll(
 				daemonsKind,
 				objects,
 				({name, spec}) =>
-					parseDaemon(spec).map(({failureDomain}) => ({
-						vm: name,
-						failureDomain,
-					})),
+					parseDaemon(spec).map((entry) => ({vm: name, ...entry})),
 			);
 			// An entry that can't be read still stands for a daemon that needs its share.
 			const count = objects?.size ?? 0;
 			this.#update({
 				daemons: this.#fleetSize.update(count, clock.now()),
-				standbys: chooseStandbys(daemons),
+				entries,
+				standbys: chooseStandbys(entries),
 			});
 		});
 	}
@@ -193,7 +196,9 @@
 	get isComplete(): boolean {
 		return (
 			this.view.value.routes !== undefined &&
-			this.#followers.every(({objects}) => objects.value !== undefined)
+			[...this.followers.values()].every(
+				({objects}) => objects.value !== undefined,
+			)
 		);
 	}
 
@@ -223,21 +228,23 @@
 	/** To be called when a key has no owner in the range tables, or its owner did not answer a request or does not hold it. */
 	suspectRangeTables(): void {
 		this.rangeTableObjects.hurry();
+		this.store.hurry(rangeTablesKind);
 	}
 
 	/** Sets whether changes of backend servers arrive without delay: the keeper of their keys acts on each. */
 	followServersClosely(closely: boolean): void {
 		this.#servers.gatherMs = closely ? 0 : this.#gatherServersMs;
+		this.store.setDirect(serversKind, closely);
 	}
 
 	override async start(): Promise<void> {
-		for (const follower of this.#followers) {
+		for (const follower of this.followers.values()) {
 			follower.start();
 		}
 	}
 
 	override async stop(): Promise<void> {
-		for (const follower of this.#followers) {
+		for (const follower of this.followers.values()) {
 			follower.stop();
 		}
 	}
--- a/packages/fakes/test/gateway-site.ts
+++ b/packages/fakes/test/gateway-site.ts
@@ -21,7 +21,8 @@
 import {until} from './requests-fixture.js';
 
 const {resolve} = createRequire(import.meta.url);
-const main = path.join(
+/** The daemon's entry point. */
+export const main = path.join(
 	path.dirname(resolve('@kingcuproute/daemon')),
 	'gateway/main.js',
 );
@@ -72,6 +73,33 @@
 	routes: {...siteConfig.routes, rows: siteConfig.routes.rows.slice(0, 2)},
 };
 
+/** The settings of a daemon on this VM, and `more` lines. */
+export function settingsOf(
+	vm: string,
+	failureDomain: string,
+	store: string,
+	more: readonly string[],
+): string {
+	return [
+		`self.node=${vm}`,
+		`self.zone=${failureDomain}`,
+		'self.region=r',
+		'network.listen.front=127.0.0.1:0',
+		'network.listen.ready=127.0.0.1:0',
+		'platform.heartbeatMs=870',
+		`platform.platform.addr=${store}`,
+		'platform.platform.writesPerS=400',
+		'platform.platform.readsPerS=2000',
+		'terms.bounds.graceS=6',
+		'terms.bounds.drainMs=2000',
+		'terms.bounds.holdMaxMs=10000',
+		'terms.bounds.retryBudgetRatio=0.2',
+		'terms.bounds.retryBudgetSlack=62',
+		'terms.bounds.budgetWindowS=10',
+		...more,
+	].join('\n');
+}
+
 /** How a backend server handles a request. */
 export type RequestHandler = (
 	req: IncomingMessage,
@@ -169,25 +197,10 @@
 		const address = await this.storeLink.listen();
 		this.store.put('config', 'main', this.config);
 		const file = path.join(this.#folder, 'settings.conf');
-		const settings = [
-			'self.node=front-a-1',
-			'self.zone=a',
-			'self.region=r',
+		const settings = settingsOf('front-a-1', 'a', address, [
 			`self.limits.memoryMb=${this.memoryMb}`,
-			'network.listen.front=127.0.0.1:0',
-			'network.listen.ready=127.0.0.1:0',
-			'platform.heartbeatMs=870',
-			`platform.platform.addr=${address}`,
-			'platform.platform.writesPerS=400',
-			'platform.platform.readsPerS=2000',
-			'terms.bounds.graceS=6',
-			'terms.bounds.drainMs=2000',
-			'terms.bounds.holdMaxMs=10000',
-			'terms.bounds.retryBudgetRatio=0.2',
-			'terms.bounds.retryBudgetSlack=62',
-			'terms.bounds.budgetWindowS=10',
-		];
-		writeFileSync(file, settings.join('\n'));
+		]);
+		writeFileSync(file, settings);
 		this.settingsFile = file;
 		await this.#startDaemon(variables);
 	}
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -50,3 +50,13 @@
 	type EvidenceMessage,
 	type VerdictMessage,
 } from './balance-rpc.js';
+export {
+	follow,
+	listKind,
+	relayStanding,
+	type FollowAnswerMessage,
+	type FollowMessage,
+	type KindReadingMessage,
+	type RelayedChangeMessage,
+	type RelayListMessage,
+} from './relay-rpc.js';
--- a/packages/platform/src/deployment.ts
+++ b/packages/platform/src/deployment.ts
@@ -10,6 +10,7 @@
 } from '@kingcuproute/core';
 import {Left} from 'purify-ts';
 import {z} from 'zod';
+import {ifReadable} from './if-readable.js';
 import {maxPort, reachableAddress} from './reachable-address.js';
 
 /** Names the environment variable that holds the path of the settings file. */
@@ -32,6 +33,12 @@
 		/** Listener for readiness checks, which the platform's load balancer sends once a second. */
 		readonly readiness: Address;
 	};
+	/** How daemons of the fleet reach this one; undefined if the settings do not say. */
+	readonly peer?: {
+		readonly address: Address;
+		/** Processor time per second, in cores. */
+		readonly capacity: number;
+	};
 	readonly store: {
 		/** `host:port`. */
 		readonly address: string;
@@ -84,6 +91,14 @@
 	})
 	.refine(({port}) => port <= maxPort, `expected a port up to ${maxPort}`);
 
+/** The first port of a range such as `7620,7635`. */
+const firstPort = z
+	.string()
+	.regex(/^\d{1,5}(,\d{1,5})?$/, 'expected FIRST,LAST')
+	.transform((text) => Number(text.split(',')[0]))
+	.refine((port) => port <= maxPort, `expected a port up to ${maxPort}`);
+const ip = z.union([z.ipv4(), z.ipv6()]);
+
 /** A table whose missing fields are each reported, even if the whole table is missing. */
 function table<S extends z.ZodRawShape>(shape: S) {
 	return z.preprocess((value: unknown) => value ?? {}, z.object(shape));
@@ -94,9 +109,17 @@
 		node: z.string().min(1),
 		zone: z.string().min(1),
 		region: z.string().min(1),
-		limits: table({memoryMb: numeric}),
+		ip: ifReadable(ip),
+		limits: table({
+			memoryMb: numeric,
+			cpuShare: ifReadable(numeric),
+			cores: ifReadable(numeric),
+		}),
+	}),
+	network: table({
+		listen: table({front: address, ready: address}),
+		portRange: ifReadable(firstPort),
 	}),
-	network: table({listen: table({front: address, ready: address})}),
 	platform: table({
 		heartbeatMs: numeric,
 		platform: table({
@@ -174,17 +197,33 @@
 	);
 }
 
+type Settings = z.infer<typeof settingsSchema>;
+
+function peerOf(
+	{ip, limits: {cpuShare = 1, cores = 1}}: Settings['self'],
+	{portRange}: Settings['network'],
+): Deployment['peer'] {
+	return ip === undefined || portRange === undefined
+		? undefined
+		: {
+				address: {host: ip, port: portRange},
+				capacity: cpuShare * cores,
+			};
+}
+
 function deploymentOf({
 	self,
 	network,
 	platform,
 	kingcuproute,
 	terms,
-}: z.infer<typeof settingsSchema>): Deployment {
+}: Settings): Deployment {
 	const {bounds} = terms;
 	const {memoryMb} = self.limits;
 	const {bufferMb = memoryMb * bufferShare} = kingcuproute;
+	const peer = peerOf(self, network);
 	return {
+		...(peer && {peer}),
 		vm: self.node,
 		failureDomain: self.zone,
 		region: self.region,
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -41,6 +41,7 @@
 } from './health-checks.js';
 export {
 	daemonsKind,
+	daemonSpec,
 	keepersKind,
 	rangeTablesKind,
 	rangeTableSpec,
@@ -62,6 +63,7 @@
 	type ObjectChanges,
 	type ObjectListing,
 	type ObjectWrite,
+	type RelayedReading,
 	type StoredObject,
 } from './object-store.js';
 export {
--- a/packages/platform/src/object-store.ts
+++ b/packages/platform/src/object-store.ts
@@ -19,12 +19,21 @@
 	readonly removed: boolean;
 };
 
+/** Where a reading came from, if the store's latest answer is not what it is. */
+export type RelayedReading = {
+	/** When the store last confirmed the reading, as far as is known. */
+	readonly confirmedAt: Millis;
+	/** Whether the next reading comes from a peer as well, so that it costs no call to the store. */
+	readonly byPeer: boolean;
+};
+
 /** Every object of a kind, and the revision from which a watch can continue. */
 export type ObjectListing = {
 	readonly revision: number;
 	readonly objects: readonly StoredObject[];
 	/** Names of those that cannot be read, where there are any. */
 	readonly unreadable?: readonly string[];
+	readonly relay?: RelayedReading;
 };
 
 export type ObjectChanges = {
@@ -32,6 +41,7 @@
 	readonly changes: readonly ObjectChange[];
 	/** Names of those that cannot be read, where there are any. */
 	readonly unreadable?: readonly string[];
+	readonly relay?: RelayedReading;
 };
 
 /** A conditional write: it succeeds only if the object is still at `revision` or, if that is undefined, does not exist. */
--- a/packages/platform/src/range-table-document.ts
+++ b/packages/platform/src/range-table-document.ts
@@ -6,6 +6,9 @@
 	type RangeTable,
 } from '@kingcuproute/core';
 import {z} from 'zod';
+import {type Deployment} from './deployment.js';
+import {ifReadable} from './if-readable.js';
+import {reachableAddress} from './reachable-address.js';
 
 export const rangeTablesKind = 'kingcuproute-range-tables';
 export const keepersKind = 'kingcuproute-keepers';
@@ -28,7 +31,12 @@
 		.refine(coversAllKeys, 'expected every key once, in order, or none'),
 });
 const keeper = z.object({vm: z.string(), beat: z.number().int()});
-const daemon = z.object({failureDomain: z.string()});
+const daemon = z.object({
+	failureDomain: z.string(),
+	/** Where other daemons reach it, and its processor time per second in cores; a daemon without them is no peer. */
+	address: ifReadable(reachableAddress),
+	capacity: ifReadable(z.number().nonnegative()),
+});
 
 /** Which daemon keeps a service's key table; `vm` is empty once the keeper has given the lease up. */
 export type Keeper = z.infer<typeof keeper>;
@@ -77,6 +85,24 @@
 	};
 }
 
+/** The object with which a daemon registers itself. */
+export function daemonSpec({
+	failureDomain,
+	peer,
+}: Pick<Deployment, 'failureDomain' | 'peer'>): unknown {
+	if (!peer) {
+		return {failureDomain};
+	}
+
+	const {host, port} = peer.address;
+	const name = host.includes(':') ? `[${host}]` : host;
+	return {
+		failureDomain,
+		address: `${name}:${port}`,
+		capacity: peer.capacity,
+	};
+}
+
 /** Parses the object with which a daemon registers itself. */
 export function parseDaemon(spec: unknown): Validated<z.infer<typeof daemon>> {
 	return validate(daemon, spec);
