--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -300,6 +300,20 @@
 export {MoveBudget, movedKeysShare} from './gateway/move-budget.js';
 export {serviceTarget} from './gateway/service-target.js';
 export {chooseStandbys, type RegisteredDaemon} from './gateway/standbys.js';
+export {
+	choosePeers,
+	chooseWatchers,
+	hasWatchers,
+	type PeerEntry,
+	type Watcher,
+} from './gateway/watchers.js';
+export {
+	KindHistory,
+	type HistoryChanges,
+	type Revised,
+} from './gateway/kind-history.js';
+export {KindPosition} from './gateway/kind-position.js';
+export {PeerStanding, type PeerFault} from './gateway/peer-standing.js';
 export {RetryAllowance, type RetryBounds} from './gateway/retry-allowance.js';
 export {CrashLosses} from './gateway/crash-losses.js';
 export {CrashReports, type CrashEvent} from './gateway/crash-reports.js';
