Choose a server from a bounded sample, and measure what a daemon spends

ServerIndex keeps the servers of each service in groups (own domain, others, draining), draws 16 random ones, and finds the owner of a key by its id. Only if the sample has no server that is open, warm and staying is a second one of 64 drawn; cold and draining servers are taken only from that one, or where the sample is the whole service, as before. An update of the list changes only the entries that differ, and the view's other changes no longer rebuild the sets of ids.

--- a/packages/core/src/gateway/choose-candidates.ts
+++ b/packages/core/src/gateway/choose-candidates.ts
@@ -29,6 +29,10 @@
 	{leaving, holds, leavingMs}: CandidateRules,
 	now: Millis,
 ): Candidates {
+	if (leaving.isEmpty && holds.isEmpty) {
+		return {servers: serving, heldMs: undefined};
+	}
+
 	const usable = serving.filter(
 		(server) => (leaving.age(server, now) ?? 0) < leavingMs,
 	);
--- a/packages/core/src/gateway/leaving-servers.ts
+++ b/packages/core/src/gateway/leaving-servers.ts
@@ -21,6 +21,11 @@
 export class LeavingServers {
 	readonly #notices = new Map<string, Notice>();
 
+	/** Whether no run is known to be leaving. */
+	get isEmpty(): boolean {
+		return this.#notices.size === 0;
+	}
+
 	/**
 	 * Records that the run is leaving; false if that was known. `since` is -Infinity where
 	 * it may have been leaving for long.
--- a/packages/core/src/gateway/server-holds.ts
+++ b/packages/core/src/gateway/server-holds.ts
@@ -13,6 +13,11 @@
 export class ServerHolds {
 	readonly #ends = new Map<string, Millis>();
 
+	/** Whether no run is held. */
+	get isEmpty(): boolean {
+		return this.#ends.size === 0;
+	}
+
 	/** Holds the run for `forMs` from `now`; a shorter hold does not end a longer one. */
 	hold(run: ServerRun, forMs: Millis, now: Millis): void {
 		const key = runKeyOf(run);
--- a/packages/core/src/gateway/server-loads.ts
+++ b/packages/core/src/gateway/server-loads.ts
@@ -80,6 +80,13 @@
 	}
 }
 
+/** A server that may get the request, and its load. */
+type Candidate = {
+	readonly server: ListedServer;
+	readonly stats: ServerStats;
+	readonly load: number;
+};
+
 export class ServerLoads {
 	readonly #stats = new Map<string, ServerStats>();
 
@@ -172,43 +179,60 @@
 		isRetry = false,
 		{ownDomain, chargeMs}: DomainCrossing = noCharge,
 	): ListedServer | undefined {
-		const loads = candidates
-			.map((server) => ({server, load: this.load(server, now)}))
-			.filter(({load}) => load < maxLoad);
-		const notAvoided = loads.filter(
-			({server}) => this.#statsOf(server.backendServer).avoidUntil <= now,
-		);
-		const proven = notAvoided.filter(
-			({server, load}) =>
-				isRetry &&
-				load < freeLoad &&
-				now - this.#statsOf(server.backendServer).answeredAt < provenMs,
-		);
-		const eligible =
-			[proven, notAvoided].find(({length}) => length > 0) ?? loads;
+		const eligible = this.#eligible(candidates, now, isRetry);
 		const runMsOf = this.#runTimes(candidates, now);
 		const unseenLoad =
 			chargeMs > 0 ? this.#unseenLoads(candidates, now) : () => 0;
-		const estimates = eligible.map(({server, load}) => ({
-			server,
-			expectedTime:
+		let shortest = Infinity;
+		let fastest: ListedServer[] = [];
+		for (const {server, stats, load} of eligible) {
+			const expectedTime =
 				(runMsOf(server) * (idleWeight + load + unseenLoad(server))) /
-					(1 - this.#failShare(this.#statsOf(server.backendServer), now)) +
-				(server.failureDomain === ownDomain ? 0 : chargeMs),
-		}));
-		const shortest = Math.min(
-			...estimates.map(({expectedTime}) => expectedTime),
-		);
-		return this.random.pick(
-			estimates.filter(({expectedTime}) => expectedTime === shortest),
-		)?.server;
+					(1 - this.#failShare(stats, now)) +
+				(server.failureDomain === ownDomain ? 0 : chargeMs);
+			if (expectedTime < shortest) {
+				shortest = expectedTime;
+				fastest = [server];
+			} else if (expectedTime === shortest) {
+				fastest.push(server);
+			}
+		}
+
+		return this.random.pick(fastest);
 	}
 
 	/** Requests per slot: those of this daemon and the reported ones of the others. */
 	load({backendServer, slots}: ListedServer, now: Millis): number {
-		const {inFlight, others, reportedAt} = this.#statsOf(backendServer);
-		const age = now - reportedAt;
-		return (inFlight + others * 2 ** (-age / reportHalfLifeMs)) / slots;
+		return loadOf(this.#statsOf(backendServer), slots, now);
+	}
+
+	/** The servers that are not full, of the best kind that there is: for a retry the proven ones, then those not avoided. */
+	#eligible(
+		candidates: readonly ListedServer[],
+		now: Millis,
+		isRetry: boolean,
+	): readonly Candidate[] {
+		const open: Candidate[] = [];
+		const notAvoided: Candidate[] = [];
+		const proven: Candidate[] = [];
+		for (const server of candidates) {
+			const stats = this.#statsOf(server.backendServer);
+			const load = loadOf(stats, server.slots, now);
+			if (load >= maxLoad) {
+				continue;
+			}
+
+			const candidate = {server, stats, load};
+			open.push(candidate);
+			if (stats.avoidUntil <= now) {
+				notAvoided.push(candidate);
+				if (isRetry && load < freeLoad && now - stats.answeredAt < provenMs) {
+					proven.push(candidate);
+				}
+			}
+		}
+
+		return [proven, notAvoided].find(({length}) => length > 0) ?? open;
 	}
 
 	/**
@@ -286,3 +310,14 @@
 		return stats;
 	}
 }
+
+/** Requests per slot: those of this daemon and the reported ones of the others. */
+function loadOf(
+	{inFlight, others, reportedAt}: ServerStats,
+	slots: number,
+	now: Millis,
+): number {
+	return (
+		(inFlight + others * 2 ** (-(now - reportedAt) / reportHalfLifeMs)) / slots
+	);
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -334,6 +334,7 @@
 	type DomainCrossing,
 	type Transfer,
 } from './gateway/domain-crossing.js';
+export {ServerIndex, type ServerSample} from './gateway/server-index.js';
 export {CheckPace} from './gateway/check-pace.js';
 export {connectionShare} from './gateway/connection-share.js';
 export {FleetSize} from './gateway/fleet-size.js';
--- a/packages/daemon/src/gateway/server-picks.ts
+++ b/packages/daemon/src/gateway/server-picks.ts
@@ -4,9 +4,9 @@
 	ColdTokens,
 	crossingCharge,
 	defaultMsPerKb,
-	isHeldBy,
 	maxLoad,
 	rangeOf,
+	ServerIndex,
 	ServerLoads,
 	type Clock,
 	type ColdBounds,
@@ -16,6 +16,7 @@
 	type Random,
 	type RoutedService,
 	type RouteRule,
+	type ServerSample,
 	type Warmth,
 } from '@kingcuproute/core';
 import {type Deployment} from '@kingcuproute/platform';
@@ -23,7 +24,7 @@
 import {inject, singleton} from 'tsyringe';
 import {type RequestEnd} from './request-end.js';
 import {ServerNotices} from './server-notices.js';
-import {ViewTask} from './view-task.js';
+import {ViewTask, type GatewayView} from './view-task.js';
 import {WarmthChecks} from './warmth-checks.js';
 
 /** What the choice of a request's server depends on. */
@@ -54,6 +55,11 @@
 /** About the time in which keys move to another server. */
 const noOwnerRetryMs = 500;
 
+/** Servers weighed for a request. More choose hardly better, as a daemon's picture of each is a moment old. */
+const sampleSize = 16;
+/** Servers weighed if all of the first sample are full, cold, held or leaving. */
+const largeSampleSize = 64;
+
 const noOwner: RequestEnd = {
 	reason: 'no-owner',
 	notRun: true,
@@ -65,6 +71,7 @@
 	readonly loads: ServerLoads;
 	readonly answerLengths = new AnswerLengths();
 	readonly #coldTokens: ColdTokens;
+	readonly #index: ServerIndex;
 
 	constructor(
 		@inject(ViewTask) private readonly view: ViewTask,
@@ -76,10 +83,11 @@
 	) {
 		this.loads = new ServerLoads(random);
 		this.#coldTokens = new ColdTokens(random);
-		view.view.subscribe(({servers = []}) => {
-			const listed = new Set(servers.map(({backendServer}) => backendServer));
-			this.loads.keep(listed);
-			this.#coldTokens.keep(listed);
+		this.#index = new ServerIndex(deployment.failureDomain);
+		let known: GatewayView | undefined;
+		view.view.subscribe((current) => {
+			this.#follow(current, known);
+			known = current;
 		});
 	}
 
@@ -123,6 +131,18 @@
 			: this.#pickAny(criteria);
 	}
 
+	#follow(current: GatewayView, known: GatewayView | undefined): void {
+		const {servers = [], domainsOut} = current;
+		if (servers === known?.servers && domainsOut === known?.domainsOut) {
+			return;
+		}
+
+		this.#index.update(servers, domainsOut);
+		const listed = new Set(servers.map(({backendServer}) => backendServer));
+		this.loads.keep(listed);
+		this.#coldTokens.keep(listed);
+	}
+
 	#pickOwner(criteria: PickCriteria): Either<RequestEnd, Choice> {
 		const {service, key, lastFailure} = criteria;
 		const table = this.view.view.value.rangeTables.get(service.service);
@@ -131,38 +151,65 @@
 		}
 
 		const range = table && rangeOf(table, key);
-		const owner = this.#inService(service).find(
-			(server) => range && isHeldBy(range, server),
-		);
+		const owner = range && this.#index.owner(service.service, range);
 		const failedRecently =
 			owner?.backendServer === lastFailure?.by &&
 			this.clock.now() - (lastFailure?.at ?? 0) < ownerRetryMs;
 		return !owner || failedRecently
 			? Left(noOwner)
-			: this.#admit(criteria, [owner], noOwner);
+			: this.#admit(criteria, {servers: [owner], isWhole: true}, noOwner);
 	}
 
+	/** Chooses from a small sample of the servers, and only if that has none to be preferred from a larger one. */
 	#pickAny(criteria: PickCriteria): Either<RequestEnd, Choice> {
+		const first = this.#pickFromSample(criteria, sampleSize);
+		return first ?? this.#pickFromSample(criteria, largeSampleSize)!;
+	}
+
+	/** Undefined if servers outside the sample may be better ones. */
+	#pickFromSample(
+		criteria: PickCriteria,
+		size: number,
+	): Either<RequestEnd, Choice> | undefined {
 		const {service, tried} = criteria;
-		const untried = this.#inService(service).filter(
-			({backendServer}) => !tried.includes(backendServer),
+		const {chargeMs} = this.crossing(criteria, this.clock.now());
+		const {servers, isWhole} = this.#index.sample(
+			service.service,
+			size,
+			chargeMs > 0,
+			this.random,
 		);
-		return this.#admit(criteria, untried, {
-			reason: tried.length > 0 ? 'declined' : 'no-server',
-			notRun: true,
-			retryAfterMs: overloadedRetryMs,
-		});
+		const isLast = isWhole || size === largeSampleSize;
+		const untried =
+			tried.length > 0
+				? servers.filter(({backendServer}) => !tried.includes(backendServer))
+				: servers;
+		const picked = this.#admit(
+			criteria,
+			{servers: untried, isWhole: isLast},
+			{
+				reason: tried.length > 0 ? 'declined' : 'no-server',
+				notRun: true,
+				retryAfterMs: overloadedRetryMs,
+			},
+		);
+		const isGood = picked.isRight() && !this.#isLeaving(picked.unsafeCoerce());
+		return isLast || isGood ? picked : undefined;
+	}
+
+	#isLeaving({server}: Choice): boolean {
+		return this.notices.leaving.has(server);
 	}
 
-	/** Chooses among `serving`; `refusalIfNone` is for the case that none of them may get requests. */
+	/** Chooses among `sample`; `refusalIfNone` is for the case that none of them may get requests. */
 	#admit(
 		criteria: PickCriteria,
-		serving: readonly ListedServer[],
+		sample: ServerSample,
 		refusalIfNone: RequestEnd,
 	): Either<RequestEnd, Choice> {
-		const {servers, heldMs} = this.notices.candidates(serving);
+		const {servers, heldMs} = this.notices.candidates(sample.servers);
 		if (servers.length > 0) {
-			return this.#chooseByLoad(criteria, servers);
+			return this.#chooseByLoad(criteria, {...sample, servers});
 		}
 
 		return heldMs === undefined
@@ -178,7 +225,7 @@
 	/** Cold servers get requests only if there are no others, and a few a second from all daemons together. */
 	#chooseByLoad(
 		criteria: PickCriteria,
-		servers: readonly ListedServer[],
+		{servers, isWhole}: ServerSample,
 	): Either<RequestEnd, Choice> {
 		const {service, tried} = criteria;
 		const now = this.clock.now();
@@ -201,6 +248,10 @@
 			return Right({server, warmth: this.warmth.of(service, server)});
 		}
 
+		if (!isWhole) {
+			return Left(this.#refusal('cold', candidates));
+		}
+
 		const bounds = this.#coldBounds(service);
 		return this.#coldTokens.take(server.backendServer, bounds, now)
 			? Right({server, warmth: 'cold'})
@@ -235,8 +286,4 @@
 			},
 		};
 	}
-
-	#inService({service}: RoutedService): readonly ListedServer[] {
-		return this.view.view.value.inService.get(service) ?? [];
-	}
 }
--- a/packages/fakes/src/bench.ts
+++ b/packages/fakes/src/bench.ts
@@ -5,7 +5,15 @@
  */
 import process from 'node:process';
 
-const names = ['failover', 'placement', 'routing', 'path', 'capacity', 'fleet'];
+const names = [
+	'failover',
+	'placement',
+	'routing',
+	'path',
+	'capacity',
+	'fleet',
+	'cost',
+];
 
 type Bench = {readonly run: (options: readonly string[]) => Promise<void>};
 
