Admit requests by target latency and priority in large fleets

Cause: a request that found no server with fewer than two requests per slot was refused at once with Retry-After 0.3 s, whatever its priority, deadline and work.

Change: admission.ts bounds a server by the wait and run that the request's target latency allows, by what its queue bears (learnt from declines, 4 per slot at the most) and by priority; requests without room wait in a bounded queue per service or key owner and leave it when they can't be served in time; Retry-After follows the rate at which slots become free. In force from kingcuproute.admissionDaemons daemons on (60 by default) and for services whose routes state a priority or a target latency. gateway-exchange.ts is split: routed-request.ts, request-admission.ts.

At a load of 24 to 38 from other jobs, gateway.test and gateway-cold.test in one run: in 2 of 6 runs two tests of gateway.test failed (503 or one attempt less), in 3 tests of gateway-cold; in 3 runs of gateway.test alone none. The former code in 2 runs: none, and one of gateway-cold ("serves every request at warm servers"). Not traced yet.

--- a/packages/core/src/gateway/server-loads.ts
+++ b/packages/core/src/gateway/server-loads.ts
@@ -176,6 +176,38 @@
 		return (inFlight + others * 2 ** (-age / reportHalfLifeMs)) / slots;
 	}
 
+	/** Requests of this daemon at the server. */
+	inFlight(server: string): number {
+		return this.#stats.get(server)?.inFlight ?? 0;
+	}
+
+	/** How long a request runs at the server, from answers of the last seconds; undefined if there are none. */
+	recentRunTime(server: string, now: Millis): Millis | undefined {
+		const stats = this.#stats.get(server);
+		return stats && now - stats.runMsAt < 2 * readingHalfLifeMs
+			? stats.runMs
+			: undefined;
+	}
+
+	/** How long one more request waits for a slot at a server whose requests run for `runMs`. */
+	expectedWait(server: ListedServer, runMs: Millis, now: Millis): Millis {
+		const {slots} = server;
+		const ahead = this.load(server, now) * slots + 1 - slots;
+		return (Math.max(0, ahead) * runMs) / slots;
+	}
+
+	/** When the report's decay brings the load below `load`; Infinity if this daemon's own requests keep it up. */
+	fallsBelow(server: ListedServer, load: number, now: Millis): Millis {
+		const {inFlight, others, reportedAt} = this.#statsOf(server.backendServer);
+		const room = load * server.slots - inFlight;
+		if (room <= 0) {
+			return Infinity;
+		}
+
+		const halvings = Math.log2(others / room);
+		return Math.max(now, reportedAt + halvings * reportHalfLifeMs);
+	}
+
 	/** The failure share decays over time, so that a server that failed is tried again. */
 	#failShare({failShare, failShareAt}: ServerStats, now: Millis): number {
 		return failShare * 2 ** (-(now - failShareAt) / readingHalfLifeMs);
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -327,6 +327,27 @@
 	type Occupancy,
 	type SendOutcome,
 } from './gateway/server-loads.js';
+export {
+	admission,
+	isLate,
+	latestStart,
+	type AdmissionAsk,
+	type ServerRoom,
+	type Verdict,
+} from './gateway/admission.js';
+export {AdmissionQueue, leavesAt} from './gateway/admission-queue.js';
+export {ExpectedWork, type ExpectedRoute} from './gateway/expected-work.js';
+export {PriorityRanks, type PriorityRank} from './gateway/priority-ranks.js';
+export {maxQueueLoad, QueueLimits} from './gateway/queue-limits.js';
+export {
+	ArrivalOrder,
+	CallerCostOrder,
+	CostPerWorkOrder,
+	DeadlineOrder,
+	QueueOrder,
+	type WaitingRequest,
+} from './gateway/queue-order.js';
+export {RetryPace, type RetryProspect} from './gateway/retry-pace.js';
 export {CheckPace} from './gateway/check-pace.js';
 export {connectionShare} from './gateway/connection-share.js';
 export {FleetSize} from './gateway/fleet-size.js';
--- a/packages/daemon/src/gateway/caller-exchange.ts
+++ b/packages/daemon/src/gateway/caller-exchange.ts
@@ -22,3 +22,16 @@
 		res.shouldKeepAlive = false;
 	}
 }
+
+/** Turns of the event loop it takes to read the end of a connection, close it and emit the close event. */
+const turnsUntilClose = 4;
+
+/**
+ * Lets the event loop run on. In a daemon that has fallen behind, the end of a caller's
+ * connection may already wait right behind its request.
+ */
+export async function untilCloseIsRead(): Promise<void> {
+	for (let turn = 0; turn < turnsUntilClose; turn++) {
+		await new Promise(setImmediate);
+	}
+}
--- a/packages/daemon/src/gateway/exchange-context.ts
+++ b/packages/daemon/src/gateway/exchange-context.ts
@@ -14,11 +14,14 @@
 import {type ServerPicks} from './server-picks.js';
 import {type TrafficTask} from './traffic-task.js';
 import {type ViewTask} from './view-task.js';
+import {type WaitingRequests} from './waiting-requests.js';
 import {type WarmthChecks} from './warmth-checks.js';
 
 export type ExchangeContext = {
 	readonly view: ViewTask;
 	readonly picks: ServerPicks;
+	/** The requests that wait until a server has room. */
+	readonly waiting: WaitingRequests;
 	readonly traffic: TrafficTask;
 	readonly connections: ServerConnections;
 	readonly budgets: ServiceBudgets;
--- a/packages/daemon/src/gateway/gateway-attempt.ts
+++ b/packages/daemon/src/gateway/gateway-attempt.ts
@@ -9,6 +9,7 @@
 	type ListedServer,
 	type Millis,
 	type RoutedService,
+	type RouteRule,
 	type SendOutcome,
 } from '@kingcuproute/core';
 import {
@@ -34,6 +35,7 @@
 /** What is sent, where to, and by when the caller needs its answer. */
 export type GatewayAttemptPlan = {
 	readonly id: string;
+	readonly rule: RouteRule;
 	readonly service: RoutedService;
 	/** Set for services divided by key. */
 	readonly key: number | undefined;
@@ -75,8 +77,9 @@
 	}
 
 	async run(): Promise<AttemptEnd> {
-		const {picks, connections, clock, log, view, warmth} = this.context;
-		const {id, service, key, version, until, server, number} = this.plan;
+		const {picks, connections, clock, log, view, warmth, waiting} =
+			this.context;
+		const {id, rule, service, key, version, until, server, number} = this.plan;
 		const {backendServer, address} = server;
 		const leftMs = Math.max(1, until - clock.now());
 		const dispatcher = connections.to(
@@ -103,8 +106,15 @@
 		if (end.kind === 'answered' && this.#load) {
 			const {latencyMs} = this.#attempt;
 			picks.loads.ran(backendServer, latencyMs, this.#load, clock.now());
+			picks.admission.ran(service.service, rule, latencyMs, this.#load);
 		}
 
+		if (end.kind === 'declined' && !this.#isMisdirected) {
+			picks.admission.declined(server, this.#load);
+		}
+
+		waiting.wake(service.service, backendServer);
+
 		if (end.kind !== 'answered') {
 			this.#lease.close();
 			const message = 'message' in end ? end.message : undefined;
--- a/packages/daemon/src/gateway/gateway-entry-task.ts
+++ b/packages/daemon/src/gateway/gateway-entry-task.ts
@@ -34,6 +34,7 @@
 import {ServerPicks} from './server-picks.js';
 import {TrafficTask} from './traffic-task.js';
 import {ViewTask} from './view-task.js';
+import {WaitingRequests} from './waiting-requests.js';
 import {WarmthChecks} from './warmth-checks.js';
 
 /** Limits for callers; `headerMs` and `callerIdleMs` hold until the routing configuration sets them. */
@@ -91,16 +92,27 @@
 		};
 		const budgets = new ServiceBudgets(retryBounds, clock);
 		const connections = new ServerConnections(connectionBounds, clock);
+		const buffers = new BufferBudget(deployment.bufferLen);
+		const {admission, loads} = picks;
+		const waiting = new WaitingRequests({
+			admission,
+			loads,
+			clock,
+			buffers,
+			metrics,
+			log,
+		});
 		this.#context = {
 			view,
 			picks,
+			waiting,
 			notices,
 			warmth,
 			traffic,
 			quarantine,
 			connections,
 			budgets,
-			buffers: new BufferBudget(deployment.bufferLen),
+			buffers,
 			clock,
 			random,
 			metrics,
@@ -125,6 +137,7 @@
 		});
 		view.view.subscribe(({routes, servers = [], daemons}) => {
 			budgets.setSlack(slackOf(daemons));
+			waiting.wakeAll();
 			connections.retainOnly(new Set(servers.map(({address}) => address)));
 			if (routes) {
 				const {idleMs, headerMs} = routes.config.limits;
--- a/packages/daemon/src/gateway/gateway-exchange.ts
+++ b/packages/daemon/src/gateway/gateway-exchange.ts
@@ -7,19 +7,32 @@
 	BufferLease,
 	drawService,
 	headerFault,
-	ranAfter,
 	takesRequest,
 	type AttemptEnd,
 	type ListedServer,
 	type Millis,
-	type RoutedService,
-	type RouteRule,
 } from '@kingcuproute/core';
 import {requestFields} from '@kingcuproute/platform';
 import {RequestBody} from '../requests/request-body.js';
-import {closeIfStopping, type CallerExchange} from './caller-exchange.js';
+import {
+	closeIfStopping,
+	untilCloseIsRead,
+	type CallerExchange,
+} from './caller-exchange.js';
 import {type ExchangeContext} from './exchange-context.js';
-import {endAfterFailure, sendEnd, type RequestEnd} from './request-end.js';
+import {
+	endAfterFailure,
+	endToReport,
+	sendEnd,
+	type RequestEnd,
+} from './request-end.js';
+import {
+	mayRepeat,
+	mayRetry,
+	minAttemptMs,
+	type RoutedRequest,
+} from './routed-request.js';
+import {RequestAdmission} from './request-admission.js';
 import {type PickCriteria} from './server-picks.js';
 import {holdLen, GatewayAttempt} from './gateway-attempt.js';
 import {SuspectRequest} from './suspect-request.js';
@@ -28,32 +41,15 @@
 const defaultAllowedMs: Millis = 5000;
 /** Reserved for returning the answer to the caller before its time is over. */
 const replyMarginMs: Millis = 10;
-/** With less time left no attempt is made: connecting and running take longer. */
-const minAttemptMs: Millis = 20;
 /** Share of the allowed time that a request may wait while its key moves to another server. */
 const ownerWaitShare = 0.3;
 const configRetryMs: Millis = 500;
 const ownerPollMs: Millis = 25;
-/** Turns of the event loop it takes to read the end of a connection, close it and emit the close event. */
-const turnsUntilClose = 4;
-
-type RoutedRequest = {
-	readonly id: string;
-	readonly rule: RouteRule;
-	readonly service: RoutedService;
-	/** Set for services divided by key. */
-	readonly key: number | undefined;
-	readonly body: RequestBody;
-	readonly arrivedAt: Millis;
-	/** By when the caller needs its answer. */
-	readonly until: Millis;
-	/** Version of the configuration that routed the request. */
-	readonly version: number;
-};
 
 export class GatewayExchange {
 	#request: RoutedRequest | undefined;
 	#attempt: GatewayAttempt | undefined;
+	#admission: RequestAdmission | undefined;
 	/** By when the caller needs its answer; known once the route is. */
 	#until: Millis = Infinity;
 	/** The failed attempt that the caller is told of if no other one answers. */
@@ -76,6 +72,7 @@
 			if (!res.writableFinished) {
 				this.#callerGone = true;
 				this.#attempt?.cancel();
+				this.#admission?.withdraw();
 			}
 		});
 	}
@@ -133,6 +130,7 @@
 	#endNow(end: RequestEnd): void {
 		this.#isRefused = true;
 		this.#attempt?.cancel();
+		this.#admission?.withdraw();
 		this.#refuse(this.#endWith(end));
 	}
 
@@ -193,7 +191,17 @@
 
 		const key = service.keyed ? this.#readKey() : undefined;
 		const {version} = routes.config;
-		this.#request = {id, rule, service, key, body, arrivedAt, until, version};
+		this.#request = {
+			id,
+			rule,
+			service,
+			key,
+			body,
+			arrivedAt,
+			allowedMs,
+			until,
+			version,
+		};
 		return this.#sendUntilAnswered(this.#request);
 	}
 
@@ -220,7 +228,7 @@
 	async #sendUntilAnswered(
 		request: RoutedRequest,
 	): Promise<RequestEnd | undefined> {
-		const {picks, clock, budgets, traffic, warmth, quarantine} = this.context;
+		const {clock, budgets, traffic, warmth, quarantine} = this.context;
 		const {service, key, body} = request;
 		const suspect = new SuspectRequest(quarantine, this.caller.req, {
 			key,
@@ -231,24 +239,21 @@
 			traffic.of(service.service).record(key, clock.now());
 		}
 
+		const caller = this.caller.req.socket.remoteAddress ?? '';
+		const admission = new RequestAdmission(this.context, {...request, caller});
+		this.#admission = admission;
 		const tried: string[] = [];
 		let lastFailure: PickCriteria['lastFailure'];
 		while (!this.#callerGone && !this.#isRefused) {
-			const late = this.#refusalBeforeSending();
-			if (late) {
-				return this.#endWith(late);
+			const early = this.#refusalBeforeSending() ?? suspect.refusal;
+			if (early) {
+				return this.#endWith(early);
 			}
 
-			const {quarantineMs} = suspect;
-			if (quarantineMs > 0) {
-				return this.#endWith({
-					reason: 'quarantined',
-					notRun: true,
-					retryAfterMs: quarantineMs,
-				});
-			}
-
-			const picked = picks.pick({service, key, tried, lastFailure});
+			const criteria = {service, key, tried, lastFailure};
+			const placed = admission.place(criteria);
+			// Without a wait the request is sent before another one can choose by the same loads.
+			const picked = placed instanceof Promise ? await placed : placed;
 			if (picked.isLeft()) {
 				const refusal = picked.extract();
 				if (await this.#waitForOwner(request, refusal)) {
@@ -259,21 +264,23 @@
 			}
 
 			const choice = picked.unsafeCoerce();
+			if (choice === 'again') {
+				continue;
+			}
+
 			const {server} = choice;
 			if (choice.warmth === 'unknown') {
 				await warmth.check(service, server);
 				continue;
 			}
 
-			if (this.#reportedEnd) {
-				if (!this.#mayRetry(request, server.backendServer, tried)) {
-					return endAfterFailure(this.#reportedEnd, undefined);
-				}
-
-				budget.recordRetry();
+			const {backendServer} = server;
+			const failure = this.#failureIfLast(request, backendServer, tried);
+			if (failure) {
+				return failure;
 			}
 
-			tried.push(server.backendServer);
+			tried.push(backendServer);
 			const end = await this.#attemptAt(server, request, tried.length);
 			if (this.#isRefused) {
 				return undefined;
@@ -291,18 +298,34 @@
 			}
 
 			this.#reportedEnd = endToReport(this.#reportedEnd, end);
-			const mayRepeat =
-				request.rule.repeatability === 'safe' || ranAfter(end) === 'not-run';
-			if (!mayRepeat || !this.#mayRetry(request, server.backendServer, tried)) {
+			if (!mayRepeat(this.context, request, end, tried)) {
 				return endAfterFailure(this.#reportedEnd, undefined);
 			}
 
-			lastFailure = {by: server.backendServer, at: clock.now()};
+			lastFailure = {by: backendServer, at: clock.now()};
 		}
 
 		return undefined;
 	}
 
+	/** What the caller is told if a retry at `next` is not allowed; counts the retry otherwise. */
+	#failureIfLast(
+		request: RoutedRequest,
+		next: string,
+		tried: readonly string[],
+	): RequestEnd | undefined {
+		if (!this.#reportedEnd) {
+			return undefined;
+		}
+
+		if (!mayRetry(this.context, request, next, tried)) {
+			return endAfterFailure(this.#reportedEnd, undefined);
+		}
+
+		this.context.budgets.of(request.service.service).recordRetry();
+		return undefined;
+	}
+
 	/** What the caller is told if `refusal` keeps the request from being sent, or sent again. */
 	#endWith(refusal: RequestEnd): RequestEnd {
 		return this.#reportedEnd
@@ -335,22 +358,6 @@
 		return this.#attempt.run();
 	}
 
-	/** Whether the request may be sent once more, to `next`. The same server may get it again if it holds the key. */
-	#mayRetry(
-		{rule, service, until, body}: RoutedRequest,
-		next: string,
-		tried: readonly string[],
-	): boolean {
-		const {budgets, clock} = this.context;
-		const servers = new Set([...tried, next]).size;
-		return (
-			servers <= rule.maxAttempts &&
-			budgets.of(service.service).hasRetry &&
-			until - clock.now() > minAttemptMs &&
-			body.replayable
-		);
-	}
-
 	/** Waits a little for the key of a refused request to find an owner; false if it can't wait, or was refused for another reason. */
 	async #waitForOwner(
 		{arrivedAt, until}: RoutedRequest,
@@ -380,21 +387,3 @@
 		return typeof value === 'string' ? value : undefined;
 	}
 }
-
-/** Once an attempt may have run the request, a later one that did not run it changes nothing. */
-function endToReport(
-	earlier: AttemptEnd | undefined,
-	end: AttemptEnd,
-): AttemptEnd {
-	return earlier && ranAfter(earlier) !== 'not-run' ? earlier : end;
-}
-
-/**
- * Lets the event loop run on. In a daemon that has fallen behind, the end of a caller's
- * connection may already wait right behind its request.
- */
-async function untilCloseIsRead(): Promise<void> {
-	for (let turn = 0; turn < turnsUntilClose; turn++) {
-		await new Promise(setImmediate);
-	}
-}
--- a/packages/daemon/src/gateway/gateway-metrics.ts
+++ b/packages/daemon/src/gateway/gateway-metrics.ts
@@ -1,6 +1,6 @@
 /** Metrics of the daemon on the platform, served beside the readiness checks. The configuration and the code limit the number of label values. */
 import {type Millis} from '@kingcuproute/core';
-import {Counter, Histogram, Registry} from 'prom-client';
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import {singleton} from 'tsyringe';
 
 /** The path of the metrics at the readiness address. */
@@ -61,6 +61,28 @@
 		registers: [this.#registry],
 	});
 
+	readonly #queued = new Gauge({
+		name: 'kingcuproute_gateway_queued_requests',
+		help: 'Requests that wait in this daemon until a server has room, by service',
+		labelNames: ['service'] as const,
+		registers: [this.#registry],
+	});
+
+	readonly #queueExits = new Counter({
+		name: 'kingcuproute_gateway_queue_exits_total',
+		help: 'Requests that found no room: tried again, refused, evicted from a full queue, or withdrawn',
+		labelNames: ['service', 'exit'] as const,
+		registers: [this.#registry],
+	});
+
+	readonly #queueWaits = new Histogram({
+		name: 'kingcuproute_gateway_queue_seconds',
+		help: 'Time from the arrival of a request that found no room to its end in the queue',
+		labelNames: ['service'] as const,
+		buckets: [0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2],
+		registers: [this.#registry],
+	});
+
 	get contentType(): string {
 		return this.#registry.contentType;
 	}
@@ -81,6 +103,21 @@
 		this.#durations.observe({service: label}, tookMs / secondMs);
 	}
 
+	/** Counts a request that starts to wait; each later leaves by `queueLeft`. */
+	queueEntered(service: string): void {
+		this.#queued.inc({service});
+	}
+
+	queueLeft(
+		service: string,
+		exit: 'tried' | 'refused' | 'evicted' | 'withdrawn',
+		waitedMs: Millis,
+	): void {
+		this.#queued.dec({service});
+		this.#queueExits.inc({service, exit});
+		this.#queueWaits.observe({service}, waitedMs / secondMs);
+	}
+
 	unreadable(kind: string, count: number): void {
 		this.#unreadable.inc({kind}, count);
 	}
--- /dev/null
+++ b/packages/daemon/src/gateway/request-admission.ts
@@ -0,0 +1,99 @@
+/**
+ * One request's way to a server under admission control: it is sent when a server has
+ * room and no waiting request goes before it, and waits or is refused otherwise.
+ */
+import {type Millis, type RoutedService} from '@kingcuproute/core';
+import {Left, Right, type Either} from 'purify-ts';
+import {type RequestEnd} from './request-end.js';
+import {type AdmissionRequest, type Examined} from './server-admission.js';
+import {
+	type Choice,
+	type PickCriteria,
+	type ServerPicks,
+} from './server-picks.js';
+import {type Waiting, type WaitingRequests} from './waiting-requests.js';
+
+export type AdmissionContext = {
+	readonly picks: ServerPicks;
+	readonly waiting: WaitingRequests;
+};
+
+/** The request as admission and its queue need it. */
+export type AdmittedRequest = Pick<AdmissionRequest, 'id' | 'rule'> & {
+	readonly service: RoutedService;
+	/** Whose request it is; no caller can fill a queue alone. */
+	readonly caller: string;
+	readonly arrivedAt: Millis;
+	/** How long the caller allows for the answer. */
+	readonly allowedMs: Millis;
+	readonly until: Millis;
+};
+
+/** What to do next: send the request to the chosen server, or begin anew because it has waited. */
+export type Placement = Choice | 'again';
+
+export class RequestAdmission {
+	readonly #admission: AdmissionRequest | undefined;
+	#waiting: Waiting | undefined;
+	/** Set once the queue has let the request out, until it is sent. */
+	#hasTurn = false;
+
+	constructor(
+		private readonly context: AdmissionContext,
+		private readonly request: AdmittedRequest,
+	) {
+		const {picks, waiting} = context;
+		const {id, rule, service} = request;
+		this.#admission = picks.admission.isActive(service.service)
+			? {
+					id,
+					rule,
+					ask: picks.admission.ask(rule, service.service, request),
+					othersInTime: (queue) => waiting.hasInTime(queue, id),
+				}
+			: undefined;
+	}
+
+	/** Takes the request out of its queue, if it waits in one. */
+	withdraw(): void {
+		this.#waiting?.withdraw();
+	}
+
+	/** Chooses a server; waits first if none has room, or if others wait for it. */
+	place(
+		criteria: PickCriteria,
+	): Either<RequestEnd, Placement> | Promise<Either<RequestEnd, Placement>> {
+		const {picks, waiting} = this.context;
+		const hadTurn = this.#hasTurn;
+		this.#hasTurn = false;
+		const full = {...criteria, admission: this.#admission};
+		const picked = picks.pick(full);
+		const {examined} = picked.extract();
+		const isOthersTurn =
+			!hadTurn && examined !== undefined && waiting.isWaiting(examined.queue);
+		if (this.#admission && examined && (picked.isLeft() || isOthersTurn)) {
+			return this.#wait(full, this.#admission, examined);
+		}
+
+		return picked;
+	}
+
+	async #wait(
+		criteria: PickCriteria,
+		{id, ask}: AdmissionRequest,
+		examined: Examined,
+	): Promise<Either<RequestEnd, Placement>> {
+		const {picks, waiting} = this.context;
+		const {service, caller, arrivedAt} = this.request;
+		const examine = () => picks.examine(criteria);
+		const {runMs} = examined.room;
+		this.#waiting = waiting.wait(
+			{id, caller, ask, runMs, arrivedAt, service: service.service, examine},
+			examined,
+		);
+		const end = await this.#waiting.ended;
+		this.#waiting = undefined;
+		this.#hasTurn = end.kind === 'try';
+		return end.kind === 'refused' ? Left(end.end) : Right('again');
+	}
+}
--- a/packages/daemon/src/gateway/request-end.ts
+++ b/packages/daemon/src/gateway/request-end.ts
@@ -94,3 +94,11 @@
 	const isSilent = end.kind === 'lost' && end.silent;
 	return {reason: isSilent ? 'timeout' : 'lost', notRun: false};
 }
+
+/** Once an attempt may have run the request, a later one that did not run it changes nothing. */
+export function endToReport(
+	earlier: AttemptEnd | undefined,
+	end: AttemptEnd,
+): AttemptEnd {
+	return earlier && ranAfter(earlier) !== 'not-run' ? earlier : end;
+}
--- a/packages/daemon/src/gateway/server-picks.ts
+++ b/packages/daemon/src/gateway/server-picks.ts
@@ -17,6 +17,11 @@
 import {Left, Right, type Either} from 'purify-ts';
 import {inject, singleton} from 'tsyringe';
 import {type RequestEnd} from './request-end.js';
+import {
+	ServerAdmission,
+	type AdmissionRequest,
+	type Examined,
+} from './server-admission.js';
 import {ServerNotices} from './server-notices.js';
 import {ViewTask} from './view-task.js';
 import {WarmthChecks} from './warmth-checks.js';
@@ -30,12 +35,24 @@
 	readonly tried: readonly string[];
 	/** The server at which the last attempt failed, and when. */
 	readonly lastFailure: {readonly by: string; readonly at: Millis} | undefined;
+	/** Set where requests are admitted by target latency and priority. */
+	readonly admission?: AdmissionRequest;
+	/** Whether nothing is to be sent, so that no part of a cold server's rate is taken. */
+	readonly isProbe?: boolean;
+};
+
+/** Why no server was chosen. */
+export type PickRefusal = RequestEnd & {
+	/** Set if the request may wait until a server has room. */
+	readonly examined?: Examined;
 };
 
 /** The server chosen for an attempt. It has to be asked first whether it is cold, and chosen anew, if that is unknown. */
 export type Choice = {
 	readonly server: ListedServer;
 	readonly warmth: Warmth;
+	/** Set where requests wait for room: what made the server eligible. */
+	readonly examined?: Examined;
 };
 
 /** About the run time of the shortest requests: a slot is likely to be free by then. */
@@ -54,6 +71,7 @@
 @singleton()
 export class ServerPicks {
 	readonly loads: ServerLoads;
+	readonly admission: ServerAdmission;
 	readonly #coldTokens: ColdTokens;
 
 	constructor(
@@ -65,6 +83,13 @@
 		@inject('Random') private readonly random: Random,
 	) {
 		this.loads = new ServerLoads(random);
+		this.admission = new ServerAdmission(
+			this.loads,
+			view,
+			deployment,
+			clock,
+			random,
+		);
 		this.#coldTokens = new ColdTokens(random);
 		view.view.subscribe(({servers = []}) => {
 			const listed = new Set(servers.map(({backendServer}) => backendServer));
@@ -79,13 +104,21 @@
 		return table && key !== undefined ? rangeOf(table, key)?.fence : undefined;
 	}
 
-	pick(criteria: PickCriteria): Either<RequestEnd, Choice> {
+	pick(criteria: PickCriteria): Either<PickRefusal, Choice> {
 		return criteria.service.keyed
 			? this.#pickOwner(criteria)
 			: this.#pickAny(criteria);
 	}
 
-	#pickOwner(criteria: PickCriteria): Either<RequestEnd, Choice> {
+	/** Why a waiting request has no room; undefined if it is to try now, also to learn why it can't be sent. */
+	examine(criteria: PickCriteria): Examined | undefined {
+		return this.pick({...criteria, isProbe: true})
+			.swap()
+			.toMaybe()
+			.extract()?.examined;
+	}
+
+	#pickOwner(criteria: PickCriteria): Either<PickRefusal, Choice> {
 		const {service, key, lastFailure} = criteria;
 		const table = this.view.view.value.rangeTables.get(service.service);
 		if (key === undefined) {
@@ -104,7 +137,7 @@
 			: this.#admit(criteria, [owner], noOwner);
 	}
 
-	#pickAny(criteria: PickCriteria): Either<RequestEnd, Choice> {
+	#pickAny(criteria: PickCriteria): Either<PickRefusal, Choice> {
 		const {service, tried} = criteria;
 		const untried = this.#inService(service).filter(
 			({backendServer}) => !tried.includes(backendServer),
@@ -121,7 +154,7 @@
 		criteria: PickCriteria,
 		serving: readonly ListedServer[],
 		refusalIfNone: RequestEnd,
-	): Either<RequestEnd, Choice> {
+	): Either<PickRefusal, Choice> {
 		const {servers, heldMs} = this.notices.candidates(serving);
 		if (servers.length > 0) {
 			return this.#chooseByLoad(criteria, servers);
@@ -139,15 +172,31 @@
 
 	/** Cold servers get requests only if there are no others, and a few a second from all daemons together. */
 	#chooseByLoad(
-		{service, tried}: PickCriteria,
+		{service, tried, admission, isProbe = false}: PickCriteria,
 		servers: readonly ListedServer[],
-	): Either<RequestEnd, Choice> {
+	): Either<PickRefusal, Choice> {
 		const now = this.clock.now();
 		const notCold = servers.filter(
 			(server) => this.warmth.of(service, server) !== 'cold',
 		);
 		const candidates = notCold.length > 0 ? notCold : servers;
 		const isRetry = !service.keyed && tried.length > 0;
+		if (admission && notCold.length > 0) {
+			return this.admission
+				.choose(admission, {service, servers: notCold, isRetry})
+				.bimap(
+					(examined) => ({
+						...this.#refusal('overloaded', [examined.server]),
+						examined,
+					}),
+					(examined) => ({
+						server: examined.server,
+						warmth: this.warmth.of(service, examined.server),
+						examined,
+					}),
+				);
+		}
+
 		const server = this.loads.choose(candidates, now, isRetry);
 		if (!server) {
 			return Left(this.#refusal('overloaded', candidates));
@@ -158,7 +207,7 @@
 		}
 
 		const bounds = this.#coldBounds(service);
-		return this.#coldTokens.take(server.backendServer, bounds, now)
+		return !isProbe && this.#coldTokens.take(server.backendServer, bounds, now)
 			? Right({server, warmth: 'cold'})
 			: Left(this.#refusal('cold', candidates));
 	}
--- a/packages/daemon/src/gateway/suspect-request.ts
+++ b/packages/daemon/src/gateway/suspect-request.ts
@@ -7,10 +7,10 @@
 	fingerprintOf,
 	type AttemptEnd,
 	type ListedServer,
-	type Millis,
 } from '@kingcuproute/core';
 import {type RequestBody} from '../requests/request-body.js';
 import {type CrashQuarantine} from './crash-quarantine.js';
+import {type RequestEnd} from './request-end.js';
 
 /** Bytes at the beginning of the body that tell requests apart. */
 const fingerprintedLen = 4096;
@@ -31,10 +31,15 @@
 		private readonly content: RequestContent,
 	) {}
 
-	/** For how much longer the request is in quarantine; 0 if it is not. */
-	get quarantineMs(): Millis {
+	/** The refusal of the request while it is in quarantine. */
+	get refusal(): RequestEnd | undefined {
 		const {quarantine} = this;
-		return quarantine.isIdle ? 0 : quarantine.leftMs(this.#fingerprintOf());
+		const leftMs = quarantine.isIdle
+			? 0
+			: quarantine.leftMs(this.#fingerprintOf());
+		return leftMs > 0
+			? {reason: 'quarantined', notRun: true, retryAfterMs: leftMs}
+			: undefined;
 	}
 
 	/** Records how an attempt at `server` ended. */
--- a/packages/fakes/test/gateway-site.ts
+++ b/packages/fakes/test/gateway-site.ts
@@ -92,6 +92,8 @@
 	settingsFile = '';
 	/** The configuration that the store holds at the start. */
 	config: unknown = siteConfig;
+	/** Lines of the settings file besides the usual ones. */
+	readonly settings: string[] = [];
 	/** Memory of the daemon's VM. */
 	memoryMb = 350;
 	#daemon: Child | undefined;
@@ -186,6 +188,7 @@
 			'terms.bounds.retryBudgetRatio=0.2',
 			'terms.bounds.retryBudgetSlack=62',
 			'terms.bounds.budgetWindowS=10',
+			...this.settings,
 		];
 		writeFileSync(file, settings.join('\n'));
 		this.settingsFile = file;
@@ -204,12 +207,20 @@
 		return res.statusCode;
 	}
 
+	/** The daemon's metrics in the text format of Prometheus. */
+	async metrics(): Promise<string> {
+		const res = await request(`http://${this.readiness}/metrics`);
+		return res.body.text();
+	}
+
 	async send(
 		target: string,
 		fields: Record<string, string> = {},
 		body?: string,
+		signal?: AbortSignal,
 	) {
 		const res = await request(`http://${this.entry}${target}`, {
+			signal,
 			method: body === undefined ? 'GET' : 'POST',
 			body,
 			headers: {
--- a/packages/platform/src/deployment.ts
+++ b/packages/platform/src/deployment.ts
@@ -26,6 +26,8 @@
 	readonly memoryLen: number;
 	/** Most bytes of bodies in transit that a process buffers. */
 	readonly bufferLen: number;
+	/** Requests are admitted by target latency and priority in fleets of at least this many daemons. */
+	readonly admissionDaemons: number;
 	readonly listen: {
 		/** Listener for callers. */
 		readonly entry: Address;
@@ -70,6 +72,8 @@
 const megabyteLen = 1_048_576;
 /** Share of a machine's memory for bodies in transit, if the settings don't say; the runtime needs the rest. */
 const bufferShare = 0.1;
+/** If the settings don't say: smaller fleets are served as before. */
+const defaultAdmissionDaemons = 60;
 
 const numeric = z
 	.string()
@@ -106,7 +110,10 @@
 		}),
 	}),
 	/** Settings of our own, which an operator may add to the file. */
-	kingcuproute: table({bufferMb: numeric.optional()}),
+	kingcuproute: table({
+		bufferMb: numeric.optional(),
+		admissionDaemons: numeric.optional(),
+	}),
 	terms: table({
 		bounds: table({
 			graceS: numeric,
@@ -190,6 +197,7 @@
 		region: self.region,
 		memoryLen: memoryMb * megabyteLen,
 		bufferLen: bufferMb * megabyteLen,
+		admissionDaemons: kingcuproute.admissionDaemons ?? defaultAdmissionDaemons,
 		listen: {
 			entry: network.listen.front,
 			readiness: network.listen.ready,
