--- a/packages/core/src/gateway/admission-queue.ts
+++ b/packages/core/src/gateway/admission-queue.ts
@@ -15,6 +15,8 @@
 const callerShare = 0.25;
 /** A request without a real prospect is refused within this share of its target latency; a longer wait costs callers. */
 const holdShare = 1 / 8;
+/** With a prospect it may wait for this share: a report can promise room again and again that other daemons take. */
+const prospectShare = 1 / 2;
 /** No request waits longer than this share of the time from its first attempt to its deadline: past three quarters a refusal costs its whole value. */
 const maxHoldShare = 0.7;
 
@@ -31,6 +33,11 @@
 		return this.#waiting.length;
 	}
 
+	/** Whether the first request in order is now admitted without regard to its rank. */
+	get ignoresRank(): boolean {
+		return this.order.ignoresRank(this.#turn);
+	}
+
 	/** The waiting requests, the next one to be served first. */
 	inOrder(now: Millis): readonly T[] {
 		return this.#waiting.toSorted((a, b) =>
@@ -114,7 +121,6 @@
 		ask.until - runMs,
 		firstAttemptAt + (ask.until - firstAttemptAt) * maxHoldShare,
 	);
-	return hasProspect
-		? longest
-		: Math.min(longest, arrivedAt + ask.targetMs * holdShare);
+	const share = hasProspect ? prospectShare : holdShare;
+	return Math.min(longest, arrivedAt + ask.targetMs * share);
 }
--- a/packages/core/src/gateway/admission.ts
+++ b/packages/core/src/gateway/admission.ts
@@ -63,6 +63,11 @@
 	return due - now < runMs;
 }
 
+/** The request without regard to the more urgent kinds, for its turn as the oldest one that waits. */
+export function withoutRank(ask: AdmissionAsk): AdmissionAsk {
+	return {...ask, rank: 0, urgentTargetMs: Infinity};
+}
+
 /** `othersInTime` says whether a request that can still end within its target latency waits for the same servers. */
 export function admission(
 	ask: AdmissionAsk,
--- a/packages/core/src/gateway/queue-order.ts
+++ b/packages/core/src/gateway/queue-order.ts
@@ -18,6 +18,11 @@
 };
 
 export abstract class QueueOrder {
+	/** Whether the first request of this turn is admitted without regard to its rank. */
+	ignoresRank(_turn: number): boolean {
+		return false;
+	}
+
 	/** Negative if `a` is to be served before `b`. `turn` counts the requests served so far. */
 	abstract compare(
 		a: WaitingRequest,
@@ -51,8 +56,11 @@
 	}
 }
 
-/** One of this many turns goes to the request that has to start first, of whatever kind, so that no kind starves. */
-const turnsPerOldest = 4;
+/**
+ * One of this many turns goes to the oldest request in time, of whatever kind, so that no
+ * kind starves. At 16 and less the least urgent kind is served more often than the one above.
+ */
+const turnsPerOldest = 32;
 
 /**
  * Requests in time first, by priority and then by when they have to start. A retried
@@ -67,16 +75,23 @@
 	): number {
 		const lateness =
 			Number(isLate(a.ask, a.runMs, now)) - Number(isLate(b.ask, b.runMs, now));
-		const byRank =
-			turn % turnsPerOldest === turnsPerOldest - 1
-				? 0
-				: a.ask.rank - b.ask.rank;
+		if (lateness !== 0 || this.ignoresRank(turn)) {
+			return lateness || firstAttemptAt(a) - firstAttemptAt(b);
+		}
+
 		return (
-			lateness ||
-			byRank ||
+			a.ask.rank - b.ask.rank ||
 			latestStart(a.ask, a.runMs, now) - latestStart(b.ask, b.runMs, now)
 		);
 	}
+
+	override ignoresRank(turn: number): boolean {
+		return turn % turnsPerOldest === turnsPerOldest - 1;
+	}
+}
+
+function firstAttemptAt({ask}: WaitingRequest): Millis {
+	return ask.due - ask.targetMs;
 }
 
 function costPerWork({ask, runMs}: WaitingRequest, now: Millis): number {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -331,6 +331,7 @@
 	admission,
 	isLate,
 	latestStart,
+	withoutRank,
 	type AdmissionAsk,
 	type ServerRoom,
 	type Verdict,
--- a/packages/daemon/src/gateway/request-admission.ts
+++ b/packages/daemon/src/gateway/request-admission.ts
@@ -2,7 +2,7 @@
  * One request's way to a server under admission control: it is sent when a server has
  * room and no waiting request goes before it, and waits or is refused otherwise.
  */
-import {type Millis, type RoutedService} from '@kingcuproute/core';
+import {withoutRank, type Millis, type RoutedService} from '@kingcuproute/core';
 import {Left, Right, type Either} from 'purify-ts';
 import {type RequestEnd} from './request-end.js';
 import {type AdmissionRequest, type Examined} from './server-admission.js';
@@ -32,11 +32,14 @@
 /** What to do next: send the request to the chosen server, or begin anew because it has waited. */
 export type Placement = Choice | 'again';
 
+/** The queue's permission to try now. */
+type Turn = {readonly isOldest: boolean};
+
 export class RequestAdmission {
 	readonly #admission: AdmissionRequest | undefined;
 	#waiting: Waiting | undefined;
 	/** Set once the queue has let the request out, until it is sent. */
-	#hasTurn = false;
+	#turn: Turn | undefined;
 
 	constructor(
 		private readonly context: AdmissionContext,
@@ -64,13 +67,13 @@
 		criteria: PickCriteria,
 	): Either<RequestEnd, Placement> | Promise<Either<RequestEnd, Placement>> {
 		const {picks, waiting} = this.context;
-		const hadTurn = this.#hasTurn;
-		this.#hasTurn = false;
+		const turn = this.#turn;
+		this.#turn = undefined;
 		const full = {...criteria, admission: this.#admission};
-		const picked = picks.pick(full);
+		const picked = picks.pick(turn?.isOldest ? asOldest(full) : full);
 		const {examined} = picked.extract();
 		const isOthersTurn =
-			!hadTurn && examined !== undefined && waiting.isWaiting(examined.queue);
+			!turn && examined !== undefined && waiting.isWaiting(examined.queue);
 		if (this.#admission && examined && (picked.isLeft() || isOthersTurn)) {
 			return this.#wait(full, this.#admission, examined);
 		}
@@ -85,7 +88,8 @@
 	): Promise<Either<RequestEnd, Placement>> {
 		const {picks, waiting} = this.context;
 		const {service, caller, arrivedAt} = this.request;
-		const examine = () => picks.examine(criteria);
+		const examine = (isOldest: boolean) =>
+			picks.examine(isOldest ? asOldest(criteria) : criteria);
 		const {runMs} = examined.room;
 		this.#waiting = waiting.wait(
 			{id, caller, ask, runMs, arrivedAt, service: service.service, examine},
@@ -93,7 +97,14 @@
 		);
 		const end = await this.#waiting.ended;
 		this.#waiting = undefined;
-		this.#hasTurn = end.kind === 'try';
+		this.#turn = end.kind === 'try' ? end : undefined;
 		return end.kind === 'refused' ? Left(end.end) : Right('again');
 	}
 }
+
+/** The criteria of a request whose turn does not depend on its rank. */
+function asOldest({admission, ...criteria}: PickCriteria): PickCriteria {
+	return admission
+		? {...criteria, admission: {...admission, ask: withoutRank(admission.ask)}}
+		: criteria;
+}
--- a/packages/daemon/src/gateway/waiting-requests.ts
+++ b/packages/daemon/src/gateway/waiting-requests.ts
@@ -30,13 +30,13 @@
 /** A request for which a place in a queue is asked. */
 export type QueuedRequest = WaitingRequest & {
 	readonly service: string;
-	/** Examines the servers again; undefined if the request is to try now. */
-	readonly examine: () => Examined | undefined;
+	/** Examines the servers again; undefined if the request is to try now. The oldest one is at times examined without regard to its rank. */
+	readonly examine: (isOldest: boolean) => Examined | undefined;
 };
 
 /** How the waiting of a request ended: it is to try now, it is refused, or its caller or this daemon ended it. */
 export type WaitEnd =
-	| {readonly kind: 'try'}
+	| {readonly kind: 'try'; readonly isOldest: boolean}
 	| {readonly kind: 'refused'; readonly end: RequestEnd}
 	| {readonly kind: 'withdrawn'};
 
@@ -68,7 +68,7 @@
 const maxQueues = 1000;
 
 export type WaitingContext = {
-	readonly admission: ServerAdmission;
+	readonly admission: Pick<ServerAdmission, 'pace'>;
 	readonly loads: ServerLoads;
 	readonly clock: Clock;
 	readonly buffers: BufferBudget;
@@ -172,12 +172,15 @@
 			this.#refuse(entry, 'refused');
 		}
 
-		for (const entry of queue.inOrder(now).slice(0, maxExamined)) {
-			const examined = entry.examine();
+		const {ignoresRank} = queue;
+		const next = queue.inOrder(now).slice(0, maxExamined);
+		for (const [place, entry] of next.entries()) {
+			const isOldest = ignoresRank && place === 0;
+			const examined = entry.examine(isOldest);
 			if (examined?.queue !== name) {
 				this.#preferred.set(name, entry.id);
 				queue.serve(entry);
-				this.#leave(entry, 'tried', {kind: 'try'});
+				this.#leave(entry, 'tried', {kind: 'try', isOldest});
 				// The next one sees the load with this one sent.
 				this.#examineIn(name, 0);
 				return;
