Merge admission by target latency and priority, from 16 daemons on

The choice of servers by load and domain is used for admission too, and a customer's priority goes before the route's.

--- a/packages/daemon/src/gateway/gateway-attempt.ts
+++ b/packages/daemon/src/gateway/gateway-attempt.ts
@@ -81,8 +81,9 @@
 	}
 
 	async run(): Promise<AttemptEnd> {
-		const {picks, connections, clock, log, view, warmth} = this.context;
-		const {id, service, key, version, until, server, number} = this.plan;
+		const {picks, connections, clock, log, view, warmth, waiting} =
+			this.context;
+		const {id, rule, service, key, version, until, server, number} = this.plan;
 		const now = clock.now();
 		const {backendServer, address} = server;
 		const leftMs = Math.max(1, until - now);
@@ -113,8 +114,15 @@
 		if (end.kind === 'answered' && this.#load) {
 			const {latencyMs} = this.#attempt;
 			picks.loads.ran(backendServer, latencyMs, this.#load, clock.now());
+			picks.admission.ran(service.service, rule, latencyMs, this.#load);
 		}
 
+		if (end.kind === 'declined' && !this.#isMisdirected) {
+			picks.admission.declined(server, this.#load);
+		}
+
+		waiting.wake(service.service, backendServer);
+
 		if (end.kind !== 'answered') {
 			this.#lease.close();
 			const message = 'message' in end ? end.message : undefined;
--- a/packages/daemon/src/gateway/server-picks.ts
+++ b/packages/daemon/src/gateway/server-picks.ts
@@ -23,6 +23,11 @@
 import {Left, Right, type Either} from 'purify-ts';
 import {inject, singleton} from 'tsyringe';
 import {type RequestEnd} from './request-end.js';
+import {
+	ServerAdmission,
+	type AdmissionRequest,
+	type Examined,
+} from './server-admission.js';
 import {ServerNotices} from './server-notices.js';
 import {ViewTask, type GatewayView} from './view-task.js';
 import {WarmthChecks} from './warmth-checks.js';
@@ -40,12 +45,24 @@
 	readonly tried: readonly string[];
 	/** The server at which the last attempt failed, and when. */
 	readonly lastFailure: {readonly by: string; readonly at: Millis} | undefined;
+	/** Set where requests are admitted by target latency and priority. */
+	readonly admission?: AdmissionRequest;
+	/** Whether nothing is to be sent, so that no part of a cold server's rate is taken. */
+	readonly isProbe?: boolean;
+};
+
+/** Why no server was chosen. */
+export type PickRefusal = RequestEnd & {
+	/** Set if the request may wait until a server has room. */
+	readonly examined?: Examined;
 };
 
 /** The server chosen for an attempt. It has to be asked first whether it is cold, and chosen anew, if that is unknown. */
 export type Choice = {
 	readonly server: ListedServer;
 	readonly warmth: Warmth;
+	/** Set where requests wait for room: what made the server eligible. */
+	readonly examined?: Examined;
 };
 
 /** About the run time of the shortest requests: a slot is likely to be free by then. */
@@ -70,6 +87,7 @@
 export class ServerPicks {
 	readonly loads: ServerLoads;
 	readonly answerLengths = new AnswerLengths();
+	readonly admission: ServerAdmission;
 	readonly #coldTokens: ColdTokens;
 	readonly #index: ServerIndex;
 
@@ -82,6 +100,13 @@
 		@inject('Random') private readonly random: Random,
 	) {
 		this.loads = new ServerLoads(random);
+		this.admission = new ServerAdmission(
+			this.loads,
+			view,
+			deployment,
+			clock,
+			random,
+		);
 		this.#coldTokens = new ColdTokens(random);
 		this.#index = new ServerIndex(deployment.failureDomain);
 		let known: GatewayView | undefined;
@@ -125,12 +150,20 @@
 		return failureDomain === this.deployment.failureDomain;
 	}
 
-	pick(criteria: PickCriteria): Either<RequestEnd, Choice> {
+	pick(criteria: PickCriteria): Either<PickRefusal, Choice> {
 		return criteria.service.keyed
 			? this.#pickOwner(criteria)
 			: this.#pickAny(criteria);
 	}
 
+	/** Why a waiting request has no room; undefined if it is to try now, also to learn why it can't be sent. */
+	examine(criteria: PickCriteria): Examined | undefined {
+		return this.pick({...criteria, isProbe: true})
+			.swap()
+			.toMaybe()
+			.extract()?.examined;
+	}
+
 	#follow(current: GatewayView, known: GatewayView | undefined): void {
 		const {servers = [], domainsOut} = current;
 		if (servers === known?.servers && domainsOut === known?.domainsOut) {
@@ -143,7 +176,7 @@
 		this.#coldTokens.keep(listed);
 	}
 
-	#pickOwner(criteria: PickCriteria): Either<RequestEnd, Choice> {
+	#pickOwner(criteria: PickCriteria): Either<PickRefusal, Choice> {
 		const {service, key, lastFailure} = criteria;
 		const table = this.view.view.value.rangeTables.get(service.service);
 		if (key === undefined) {
@@ -161,7 +194,7 @@
 	}
 
 	/** Chooses from a small sample of the servers, and only if that has none to be preferred from a larger one. */
-	#pickAny(criteria: PickCriteria): Either<RequestEnd, Choice> {
+	#pickAny(criteria: PickCriteria): Either<PickRefusal, Choice> {
 		const first = this.#pickFromSample(criteria, sampleSize);
 		return first ?? this.#pickFromSample(criteria, largeSampleSize)!;
 	}
@@ -170,7 +203,7 @@
 	#pickFromSample(
 		criteria: PickCriteria,
 		size: number,
-	): Either<RequestEnd, Choice> | undefined {
+	): Either<PickRefusal, Choice> | undefined {
 		const {service, tried} = criteria;
 		const {chargeMs} = this.crossing(criteria, this.clock.now());
 		const {servers, isWhole} = this.#index.sample(
@@ -206,7 +239,7 @@
 		criteria: PickCriteria,
 		sample: ServerSample,
 		refusalIfNone: RequestEnd,
-	): Either<RequestEnd, Choice> {
+	): Either<PickRefusal, Choice> {
 		const {servers, heldMs} = this.notices.candidates(sample.servers);
 		if (servers.length > 0) {
 			return this.#chooseByLoad(criteria, {...sample, servers});
@@ -226,20 +259,32 @@
 	#chooseByLoad(
 		criteria: PickCriteria,
 		{servers, isWhole}: ServerSample,
-	): Either<RequestEnd, Choice> {
-		const {service, tried} = criteria;
+	): Either<PickRefusal, Choice> {
+		const {service, tried, admission, isProbe = false} = criteria;
 		const now = this.clock.now();
 		const notCold = servers.filter(
 			(server) => this.warmth.of(service, server) !== 'cold',
 		);
 		const candidates = notCold.length > 0 ? notCold : servers;
 		const isRetry = !service.keyed && tried.length > 0;
-		const server = this.loads.choose(
-			candidates,
-			now,
-			isRetry,
-			this.crossing(criteria, now),
-		);
+		const crossing = this.crossing(criteria, now);
+		if (admission && notCold.length > 0) {
+			return this.admission
+				.choose(admission, {service, servers: notCold, isRetry, crossing})
+				.bimap(
+					(examined) => ({
+						...this.#refusal('overloaded', [examined.server]),
+						examined,
+					}),
+					(examined) => ({
+						server: examined.server,
+						warmth: this.warmth.of(service, examined.server),
+						examined,
+					}),
+				);
+		}
+
+		const server = this.loads.choose(candidates, now, isRetry, crossing);
 		if (!server) {
 			return Left(this.#refusal('overloaded', candidates));
 		}
@@ -253,7 +298,7 @@
 		}
 
 		const bounds = this.#coldBounds(service);
-		return this.#coldTokens.take(server.backendServer, bounds, now)
+		return !isProbe && this.#coldTokens.take(server.backendServer, bounds, now)
 			? Right({server, warmth: 'cold'})
 			: Left(this.#refusal('cold', candidates));
 	}
--- a/packages/fakes/test/gateway-site.ts
+++ b/packages/fakes/test/gateway-site.ts
@@ -120,6 +120,8 @@
 	settingsFile = '';
 	/** The configuration that the store holds at the start. */
 	config: unknown = siteConfig;
+	/** Lines of the settings file besides the usual ones. */
+	readonly settings: string[] = [];
 	/** Memory of the daemon's VM. */
 	memoryMb = 350;
 	#daemon: Child | undefined;
@@ -199,6 +201,7 @@
 		const file = path.join(this.#folder, 'settings.conf');
 		const settings = settingsOf('front-a-1', 'a', address, [
 			`self.limits.memoryMb=${this.memoryMb}`,
+			...this.settings,
 		]);
 		writeFileSync(file, settings);
 		this.settingsFile = file;
@@ -217,12 +220,20 @@
 		return res.statusCode;
 	}
 
+	/** The daemon's metrics in the text format of Prometheus. */
+	async metrics(): Promise<string> {
+		const res = await request(`http://${this.readiness}/metrics`);
+		return res.body.text();
+	}
+
 	async send(
 		target: string,
 		fields: Record<string, string> = {},
 		body?: string,
+		signal?: AbortSignal,
 	) {
 		const res = await request(`http://${this.entry}${target}`, {
+			signal,
 			method: body === undefined ? 'GET' : 'POST',
 			body,
 			headers: {
--- a/packages/platform/src/deployment.ts
+++ b/packages/platform/src/deployment.ts
@@ -31,6 +31,8 @@
 	readonly crossDomainMsPerKb: number | undefined;
 	/** The share of all keys that may move in a second to even out the load; undefined if the settings don't say. */
 	readonly movedKeysShare: number | undefined;
+	/** Requests are admitted by target latency and priority in fleets of at least this many daemons. */
+	readonly admissionDaemons: number;
 	readonly listen: {
 		/** Listener for callers. */
 		readonly entry: Address;
@@ -92,6 +94,8 @@
 const megabyteLen = 1_048_576;
 /** Share of a machine's memory for bodies in transit, if the settings don't say; the runtime needs the rest. */
 const bufferShare = 0.1;
+/** If the settings don't say: smaller fleets are served as before. */
+const defaultAdmissionDaemons = 16;
 
 const numeric = z
 	.string()
@@ -155,6 +159,7 @@
 		bufferMb: numeric.optional(),
 		crossDomainMsPerKb: numeric.optional(),
 		movedKeysPerS: numeric.optional(),
+		admissionDaemons: numeric.optional(),
 	}),
 	terms: table({
 		bounds: table({
@@ -262,6 +267,7 @@
 		bufferLen: bufferMb * megabyteLen,
 		crossDomainMsPerKb,
 		movedKeysShare: kingcuproute.movedKeysPerS,
+		admissionDaemons: kingcuproute.admissionDaemons ?? defaultAdmissionDaemons,
 		listen: {
 			entry: network.listen.front,
 			readiness: network.listen.ready,
