Count the keys that move, by cause

Cause: each part states its metrics; how many keys move, and why, showed in log lines alone.

Change: kingcuproute_gateway_moved_keys_total by service and cause (servers, load), counted as plans begin.

--- a/packages/daemon/src/gateway/gateway-metrics.ts
+++ b/packages/daemon/src/gateway/gateway-metrics.ts
@@ -8,6 +8,9 @@
 
 const secondMs: Millis = 1000;
 
+/** Why keys move. */
+export type MoveCause = 'servers' | 'load';
+
 @singleton()
 export class GatewayMetrics {
 	readonly #registry = new Registry();
@@ -54,6 +57,13 @@
 		registers: [this.#registry],
 	});
 
+	readonly #movedKeys = new Counter({
+		name: 'kingcuproute_gateway_moved_keys_total',
+		help: 'Keys that this daemon has planned to move, by service and cause: a server lost, leaving or new, or load',
+		labelNames: ['service', 'cause'] as const,
+		registers: [this.#registry],
+	});
+
 	readonly #storeCalls = new Counter({
 		name: 'kingcuproute_gateway_store_calls_total',
 		help: 'Calls to the store, by kind of object and call; a list of several pages counts once',
@@ -92,6 +102,10 @@
 		this.#storeCalls.inc({kind, call});
 	}
 
+	keysMoved(service: string, cause: MoveCause, keys: number): void {
+		this.#movedKeys.inc({service, cause}, keys);
+	}
+
 	warmthChanged(warmth: 'cold' | 'warm'): void {
 		this.#warmthChanges.inc({warmth});
 	}
--- a/packages/daemon/src/gateway/keepers-task.ts
+++ b/packages/daemon/src/gateway/keepers-task.ts
@@ -19,6 +19,7 @@
 import {Log} from '../log/log.js';
 import {Task} from '../task/task.js';
 import {FleetTraffic} from './fleet-traffic.js';
+import {GatewayMetrics} from './gateway-metrics.js';
 import {KeeperLease} from './keeper-lease.js';
 import {KeyKeeper} from './key-keeper.js';
 import {KindFollower} from './kind-follower.js';
@@ -48,6 +49,7 @@
 		@inject('Deployment') private readonly deployment: Deployment,
 		@inject('Clock') private readonly clock: Clock,
 		@inject('Random') private readonly random: Random,
+		@inject(GatewayMetrics) private readonly metrics: GatewayMetrics,
 		@inject(Log) private readonly log: Log,
 	) {
 		super();
@@ -197,6 +199,9 @@
 				const {routes} = view.view.value;
 				return routes && serviceTarget(routes.config, service);
 			},
+			onMoves: (cause, keys) => {
+				this.metrics.keysMoved(service, cause, keys);
+			},
 			movedKeysShare: () =>
 				movedKeysShare(this.deployment.movedKeysShare, view.view.value.daemons),
 		});
--- a/packages/daemon/src/gateway/key-planner.ts
+++ b/packages/daemon/src/gateway/key-planner.ts
@@ -22,6 +22,7 @@
 	type RangeTable,
 } from '@kingcuproute/core';
 import {type Log} from '../log/log.js';
+import {type MoveCause} from './gateway-metrics.js';
 import {type KeyGrants} from './key-grants.js';
 
 /** Pause after moves by load: about as long as they take. At 700 ms, the table was written 1.3 times as often, and 0.1% fewer requests were answered in time (design/key-placement.md). */
@@ -45,6 +46,8 @@
 	readonly targetMs: () => Millis | undefined;
 	/** The share of all keys that may move in a second to even out the load. */
 	readonly movedKeysShare: () => number;
+	/** Called with the number of keys that a plan moves. */
+	readonly onMoves: (cause: MoveCause, keys: number) => void;
 };
 
 export class KeyPlanner {
@@ -73,7 +76,13 @@
 		);
 		const moves =
 			needed.length > 0 ? needed : this.#planLoadMoves(planned, servers);
-		return moves.filter(overlapsNone(pending));
+		const begun = moves.filter(overlapsNone(pending));
+		if (begun.length > 0) {
+			const cause = needed.length > 0 ? 'servers' : 'load';
+			this.context.onMoves(cause, countKeys(begun));
+		}
+
+		return begun;
 	}
 
 	/** Adds up the traffic of all daemons only if there are such moves: this runs with every tick. */
@@ -136,11 +145,7 @@
 		bounds: LoadPlanBounds,
 	): void {
 		const {log, service} = this.context;
-		let moved = 0;
-		for (const {from, to} of moves) {
-			moved += to - from + 1;
-		}
-
+		const moved = countKeys(moves);
 		this.#budget.spend(moved);
 		log.info('load-evened-out', {
 			service,
@@ -170,6 +175,15 @@
 	}
 }
 
+function countKeys(moves: readonly KeyMove[]): number {
+	let count = 0;
+	for (const {from, to} of moves) {
+		count += to - from + 1;
+	}
+
+	return count;
+}
+
 /** A test for moves that include no key of one of `pending`. */
 function overlapsNone(pending: readonly KeyMove[]): (move: KeyMove) => boolean {
 	const sorted = pending.toSorted((a, b) => a.from - b.from);
--- a/packages/daemon/test/gateway-keepers.ts
+++ b/packages/daemon/test/gateway-keepers.ts
@@ -339,6 +339,7 @@
 			traffic: () => traffic,
 			targetMs: () => undefined,
 			movedKeysShare: () => Infinity,
+			onMoves: () => undefined,
 		});
 		keeper.start();
 		return {vm, clock, lease, keeper};
--- a/packages/daemon/test/key-planner.test.ts
+++ b/packages/daemon/test/key-planner.test.ts
@@ -43,6 +43,7 @@
 			traffic: () => observed,
 			targetMs: () => targetMs,
 			movedKeysShare: () => movedKeysShare(undefined, daemons),
+			onMoves: () => undefined,
 		},
 		{hasEnded: () => false, isReleaseFinal: () => true},
 	);
