Enforce customers' quotas over all daemons by reported demand

Cause: a customer's quota holds over all daemons together, and with 59 of them most customers send less than one request a second to each: fixed parts refuse 30 to 55% of the requests of a customer below its quota (trial).

Without reports a daemon keeps an equal part. Beyond the quota: 429 with Retry-After; the token of a request that did not run is given back. Reports come through the abstract class FleetReports; until a channel between daemons exists, NoFleetReports stands for it.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -324,6 +324,13 @@
 	type RouteRule,
 	type RoutingConfig,
 } from './gateway/route-rule.js';
+export {CustomerQuota, type QuotaRefusal} from './gateway/customer-quota.js';
+export {
+	windowBound,
+	type Quota,
+	type QuotaBounds,
+} from './gateway/quota-flow.js';
+export {type ReportedDemand} from './gateway/reported-demand.js';
 export {mayStartBehind} from './gateway/pipeline.js';
 export {takesRequest, type StopPlan} from './gateway/stop-plan.js';
 export {drawService, RouteTable} from './gateway/route-table.js';
--- a/packages/daemon/src/gateway/exchange-context.ts
+++ b/packages/daemon/src/gateway/exchange-context.ts
@@ -9,6 +9,7 @@
 import {type ServerConnections} from '../requests/server-connections.js';
 import {type ServiceBudgets} from '../requests/service-budgets.js';
 import {type CrashQuarantine} from './crash-quarantine.js';
+import {type CustomerQuotas} from './customer-quotas.js';
 import {type GatewayMetrics} from './gateway-metrics.js';
 import {type ServerNotices} from './server-notices.js';
 import {type ServerPicks} from './server-picks.js';
@@ -28,6 +29,7 @@
 	readonly notices: ServerNotices;
 	readonly warmth: WarmthChecks;
 	readonly quarantine: CrashQuarantine;
+	readonly quotas: CustomerQuotas;
 	readonly metrics: GatewayMetrics;
 	readonly log: Log;
 	/** Undefined unless the daemon is stopping. */
--- a/packages/daemon/src/gateway/gateway-entry-task.ts
+++ b/packages/daemon/src/gateway/gateway-entry-task.ts
@@ -26,6 +26,7 @@
 import {ServiceBudgets} from '../requests/service-budgets.js';
 import {Task} from '../task/task.js';
 import {CrashQuarantine} from './crash-quarantine.js';
+import {CustomerQuotas} from './customer-quotas.js';
 import {type ExchangeContext} from './exchange-context.js';
 import {GatewayExchange} from './gateway-exchange.js';
 import {GatewayMetrics, metricsPath} from './gateway-metrics.js';
@@ -75,6 +76,7 @@
 		@inject(WarmthChecks) warmth: WarmthChecks,
 		@inject(TrafficTask) traffic: TrafficTask,
 		@inject(CrashQuarantine) quarantine: CrashQuarantine,
+		@inject(CustomerQuotas) quotas: CustomerQuotas,
 		@inject('Clock') private readonly clock: Clock,
 		@inject('Random') random: Random,
 		@inject(GatewayMetrics) private readonly metrics: GatewayMetrics,
@@ -98,6 +100,7 @@
 			warmth,
 			traffic,
 			quarantine,
+			quotas,
 			connections,
 			budgets,
 			buffers: new BufferBudget(deployment.bufferLen),
--- a/packages/daemon/src/gateway/gateway-exchange.ts
+++ b/packages/daemon/src/gateway/gateway-exchange.ts
@@ -95,8 +95,15 @@
 
 		const {log, clock, metrics} = this.context;
 		const tookMs = Math.round(clock.now() - arrivedAt);
-		const {service, key, version} = this.#request ?? {};
-		const fields = {id, service: service?.service, key, version, tookMs};
+		const {service, access, key, version} = this.#request ?? {};
+		const fields = {
+			id,
+			service: service?.service,
+			customer: access?.customer?.name,
+			key,
+			version,
+			tookMs,
+		};
 		if (!end) {
 			const outcome = this.#callerGone ? 'gone' : 'answered';
 			metrics.requestEnded(service?.service, outcome, tookMs);
@@ -215,7 +222,7 @@
 			until,
 			version,
 		};
-		return this.#sendUntilAnswered(this.#request);
+		return this.#sendWithinQuota(this.#request);
 	}
 
 	/** Reads the body, or its first part if it is long; undefined if the caller has left. */
@@ -238,6 +245,23 @@
 		}
 	}
 
+	async #sendWithinQuota(
+		request: RoutedRequest,
+	): Promise<RequestEnd | undefined> {
+		const admitted = this.context.quotas.admit(request.access.customer);
+		if (admitted.isLeft()) {
+			return admitted.extract();
+		}
+
+		const end = await this.#sendUntilAnswered(request);
+		const hasNotRun = end?.notRun ?? this.#attempt === undefined;
+		if (hasNotRun) {
+			admitted.unsafeCoerce().refund();
+		}
+
+		return end;
+	}
+
 	async #sendUntilAnswered(
 		request: RoutedRequest,
 	): Promise<RequestEnd | undefined> {
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -21,9 +21,12 @@
 import {container} from 'tsyringe';
 import {Log} from '../log/log.js';
 import {logUnexpectedErrors} from '../log/unexpected-errors.js';
+import {CustomerQuotas} from './customer-quotas.js';
+import {type FleetReports} from './fleet-reports.js';
 import {GatewayEntryTask} from './gateway-entry-task.js';
 import {GatewayMetrics} from './gateway-metrics.js';
 import {KeepersTask} from './keepers-task.js';
+import {NoFleetReports} from './no-fleet-reports.js';
 import {ObservedStore} from './observed-store.js';
 import {StoreContact} from './store-contact.js';
 import {TrafficTask} from './traffic-task.js';
@@ -36,6 +39,7 @@
 	readonly #keepers: KeepersTask;
 	readonly #view: ViewTask;
 	readonly #traffic: TrafficTask;
+	readonly #quotas: CustomerQuotas;
 	readonly #log: Log;
 
 	constructor(private readonly deployment: Deployment) {
@@ -63,7 +67,9 @@
 			new HttpHealthChecks(clock),
 		);
 		child.registerInstance<KeyOrders>('KeyOrders', new HttpKeyOrders(clock));
+		child.registerInstance<FleetReports>('FleetReports', new NoFleetReports());
 		this.#view = child.resolve(ViewTask);
+		this.#quotas = child.resolve(CustomerQuotas);
 		this.#entry = child.resolve(GatewayEntryTask);
 		this.#keepers = child.resolve(KeepersTask);
 		this.#traffic = child.resolve(TrafficTask);
@@ -72,6 +78,7 @@
 
 	async start(): Promise<void> {
 		await this.#entry.start();
+		await this.#quotas.start();
 		await this.#view.start();
 		await this.#keepers.start();
 		await this.#traffic.start();
@@ -102,6 +109,7 @@
 		this.#log.info('stopping');
 		await Promise.all([this.#keepers.stop(), this.#entry.stop()]);
 		await this.#traffic.stop();
+		await this.#quotas.stop();
 		await this.#view.stop();
 		this.#log.info('stopped');
 	}
--- a/packages/daemon/src/gateway/request-end.ts
+++ b/packages/daemon/src/gateway/request-end.ts
@@ -39,7 +39,7 @@
 	readonly reason: Reason;
 	readonly notRun: boolean;
 	readonly retryAfterMs?: Millis;
-	/** For the log: the state of the least loaded server, if all were full or cold. */
+	/** For the log: the state of the least loaded server, if all were full or cold, or that of the customer's quota. */
 	readonly full?: Readonly<Record<string, string | number>>;
 	/** For the log: what is wrong with the API key. */
 	readonly cause?: string;
--- a/packages/fakes/test/gateway-customers.test.ts
+++ b/packages/fakes/test/gateway-customers.test.ts
@@ -135,3 +135,34 @@
 	t.is(await site.statusOf('/read/d', bearer('key-2')), 401);
 	t.false(site.log().some((line) => line.includes('key-')));
 });
+
+test('requests beyond a customer’s quota are refused 429 before they run, with a time to wait, and others are served', async (t) => {
+	const rows = [
+		['small', ['key-small'], 1, 2, null],
+		['large', ['key-large'], 1000, 1000, null],
+	];
+	const {site, seen} = await customerSite(t, configWith('r1', rows));
+	const answers: Array<Awaited<ReturnType<Site['send']>>> = [];
+	for (let index = 0; index < 60; index++) {
+		answers.push(await site.send(`/read/${index}`, bearer('key-small')));
+	}
+
+	const refused = answers.filter(({status}) => status === 429);
+	const ran = answers.filter(({status}) => status === 200).length;
+	t.true(ran >= 7 && ran <= 27, `${ran} ran`);
+	t.is(seen.size, ran);
+	t.is(refused.length, 60 - ran);
+	for (const {headers, text} of refused) {
+		t.true(Number(headers['retry-after']) > 0);
+		t.deepEqual(JSON.parse(text), {reason: 'over-quota', notRun: true});
+	}
+
+	t.is(await site.statusOf('/read/x', bearer('key-large')), 200);
+	const line = await site.line('reason=over-quota');
+	t.regex(line, /customer=small .*retryAfterMs=\d+ by=equal share=1 /);
+	t.regex(
+		await metricsOf(site),
+		/customer_requests_total{customer="small",outcome="over-quota"} [3-5]\d/,
+	);
+	t.false(site.log().some((text) => text.includes('key-')));
+});
