--- a/packages/fakes/test/gateway-customers.test.ts
+++ b/packages/fakes/test/gateway-customers.test.ts
@@ -9,6 +9,7 @@
 	sendAnswer,
 	type Site,
 } from './gateway-site.js';
+import {until} from './requests-fixture.js';
 
 const {routes} = plainConfig;
 const tenantColumns = ['name', 'apiKeys', 'ratePerS', 'burst', 'priority'];
@@ -166,3 +167,28 @@
 	);
 	t.false(site.log().some((text) => text.includes('key-')));
 });
+
+test('where revocations are strict, a daemon that has lost the store accepts no key after the time allowed, and does again once it is back', async (t) => {
+	const site = createSite(t);
+	await site.addServer('i-1', 'plain', (req, res, body) => {
+		sendAnswer(req, res, body);
+	});
+	site.config = configWith('r1', [['dune', ['key-dune'], null, null, null]]);
+	site.addedSettings = [
+		'terms.bounds.strictRevoke=1',
+		'terms.bounds.revokeMs=1000',
+	];
+	await site.start();
+	t.is(await site.statusOf('/read/a', bearer('key-dune')), 200);
+	site.storeLink.setFaults({silentTo: true, silentFrom: true});
+	await until(
+		async () => (await site.statusOf('/read/b', bearer('key-dune'))) === 503,
+	);
+	t.regex(await site.line('reason=keys-outdated'), /notRun=true/);
+	t.is(await site.statusOf('/open/c'), 200);
+	site.storeLink.setFaults();
+	site.storeLink.cut();
+	await until(
+		async () => (await site.statusOf('/read/d', bearer('key-dune'))) === 200,
+	);
+});
--- a/packages/fakes/test/gateway-site.ts
+++ b/packages/fakes/test/gateway-site.ts
@@ -94,6 +94,8 @@
 	config: unknown = siteConfig;
 	/** Memory of the daemon's VM. */
 	memoryMb = 350;
+	/** Lines that are added to the settings file. */
+	addedSettings: readonly string[] = [];
 	#daemon: Child | undefined;
 	readonly #servers: Server[] = [];
 	readonly #byName = new Map<string, Server>();
@@ -186,6 +188,7 @@
 			'terms.bounds.retryBudgetRatio=0.2',
 			'terms.bounds.retryBudgetSlack=62',
 			'terms.bounds.budgetWindowS=10',
+			...this.addedSettings,
 		];
 		writeFileSync(file, settings.join('\n'));
 		this.settingsFile = file;
--- a/packages/platform/test/decoding.test.ts
+++ b/packages/platform/test/decoding.test.ts
@@ -59,6 +59,32 @@
 	t.is(deployment.memoryLen, 350 * 1_048_576);
 });
 
+test('bounds of quotas and revocations may be missing, and a revocation binds in time only where it is strict', (t) => {
+	const boundsOf = (...added: readonly string[]) =>
+		parseDeployment([...settings, ...added].join('\n')).map(
+			({bounds}) => bounds,
+		);
+	t.like(boundsOf().unsafeCoerce(), {
+		quotaWindowMs: 5000,
+		quotaExcess: 0.1,
+		quotaSlack: 20,
+		revokeMs: Infinity,
+	});
+	const prefix = 'terms.bounds.';
+	const given = ['quotaWindowS=2', 'quotaExcess=0', 'quotaSlack=1'];
+	t.like(boundsOf(...given.map((line) => prefix + line)).unsafeCoerce(), {
+		quotaWindowMs: 2000,
+		quotaExcess: 0,
+		quotaSlack: 1,
+	});
+	const revoke = (strict: string) =>
+		boundsOf(`${prefix}strictRevoke=${strict}`, `${prefix}revokeMs=900`);
+	t.is(revoke('true').unsafeCoerce().revokeMs, 900);
+	t.is(revoke('0').unsafeCoerce().revokeMs, Infinity);
+	t.true(boundsOf(`${prefix}quotaWindowS=0`).isLeft());
+	t.true(revoke('maybe').isLeft());
+});
+
 test('each missing or invalid setting is reported with its path', (t) => {
 	for (const [index, line] of settings.entries()) {
 		const path = line.slice(0, line.indexOf('='));
