Know a customer's demand before its first request at a daemon

Cause: the state of a quota was created with the customer's first request, so that the reports before it were unknown and the first requests got an equal part.

Change: state is kept for all customers that have a quota.

Result: the new test fails without the change's state and passes with it; 67 tests of the files concerned pass.

--- a/packages/daemon/src/gateway/customer-quotas.ts
+++ b/packages/daemon/src/gateway/customer-quotas.ts
@@ -125,19 +125,24 @@
 		return quota;
 	}
 
-	/** Drops the state of customers that are no longer configured. */
+	/** Keeps state for the customers that have a quota, so that reports are known when their first request comes. */
 	#update(customers: readonly Customer[]): void {
 		if (customers === this.#customers) {
 			return;
 		}
 
 		this.#customers = customers;
-		const names = new Set(customers.map(({name}) => name));
+		const limited = customers.filter(({rate}) => rate < Infinity);
+		const names = new Set(limited.map(({name}) => name));
 		for (const name of this.#quotas.keys()) {
 			if (!names.has(name)) {
 				this.#quotas.delete(name);
 			}
 		}
+
+		for (const name of names) {
+			this.#quota(name);
+		}
 	}
 
 	/** The demand at this daemon, of customers that have any. */
--- a/packages/daemon/test/customer-quotas.test.ts
+++ b/packages/daemon/test/customer-quotas.test.ts
@@ -131,6 +131,17 @@
 	t.true(end.retryAfterMs! > 0 && end.retryAfterMs! <= 7500);
 });
 
+test('the first requests of a customer at a daemon are admitted where reports show that demand is low', async (t) => {
+	const fixture = new Fixture();
+	const small = {...dune, rate: 4, burst: 4};
+	await fixture.start(small);
+	for (let second = 0; second < 4; second++) {
+		await fixture.second(0, 1);
+	}
+
+	t.is(fixture.admitted(2, small), 2);
+});
+
 test('reports that are odd, repeated or from the past change nothing', async (t) => {
 	const fixture = new Fixture();
 	await fixture.start(dune);
