--- a/packages/fakes/test/gateway-customers.test.ts
+++ b/packages/fakes/test/gateway-customers.test.ts
@@ -9,6 +9,7 @@
 	sendAnswer,
 	type Site,
 } from './gateway-site.js';
+import {until} from './requests-fixture.js';
 
 const {routes} = plainConfig;
 const tenantColumns = ['name', 'apiKeys', 'ratePerS', 'burst', 'priority'];
@@ -135,3 +136,59 @@
 	t.is(await site.statusOf('/read/d', bearer('key-2')), 401);
 	t.false(site.log().some((line) => line.includes('key-')));
 });
+
+test('requests beyond a customer’s quota are refused 429 before they run, with a time to wait, and others are served', async (t) => {
+	const rows = [
+		['small', ['key-small'], 1, 2, null],
+		['large', ['key-large'], 1000, 1000, null],
+	];
+	const {site, seen} = await customerSite(t, configWith('r1', rows));
+	const answers: Array<Awaited<ReturnType<Site['send']>>> = [];
+	for (let index = 0; index < 60; index++) {
+		answers.push(await site.send(`/read/${index}`, bearer('key-small')));
+	}
+
+	const refused = answers.filter(({status}) => status === 429);
+	const ran = answers.filter(({status}) => status === 200).length;
+	t.true(ran >= 7 && ran <= 27, `${ran} ran`);
+	t.is(seen.size, ran);
+	t.is(refused.length, 60 - ran);
+	for (const {headers, text} of refused) {
+		t.true(Number(headers['retry-after']) > 0);
+		t.deepEqual(JSON.parse(text), {reason: 'over-quota', notRun: true});
+	}
+
+	t.is(await site.statusOf('/read/x', bearer('key-large')), 200);
+	const line = await site.line('reason=over-quota');
+	t.regex(line, /customer=small .*retryAfterMs=\d+ by=equal share=1 /);
+	t.regex(
+		await metricsOf(site),
+		/customer_requests_total{customer="small",outcome="over-quota"} [3-5]\d/,
+	);
+	t.false(site.log().some((text) => text.includes('key-')));
+});
+
+test('where revocations are strict, a daemon that has lost the store accepts no key after the time allowed, and does again once it is back', async (t) => {
+	const site = createSite(t);
+	await site.addServer('i-1', 'plain', (req, res, body) => {
+		sendAnswer(req, res, body);
+	});
+	site.config = configWith('r1', [['dune', ['key-dune'], null, null, null]]);
+	site.settings.push(
+		'terms.bounds.strictRevoke=1',
+		'terms.bounds.revokeMs=1000',
+	);
+	await site.start();
+	t.is(await site.statusOf('/read/a', bearer('key-dune')), 200);
+	site.storeLink.setFaults({silentTo: true, silentFrom: true});
+	await until(
+		async () => (await site.statusOf('/read/b', bearer('key-dune'))) === 503,
+	);
+	t.regex(await site.line('reason=keys-outdated'), /notRun=true/);
+	t.is(await site.statusOf('/open/c'), 200);
+	site.storeLink.setFaults();
+	site.storeLink.cut();
+	await until(
+		async () => (await site.statusOf('/read/d', bearer('key-dune'))) === 200,
+	);
+});
