--- a/packages/core/src/gateway/priority-ranks.ts
+++ b/packages/core/src/gateway/priority-ranks.ts
@@ -14,19 +14,20 @@
 	readonly urgentTargetMs: Millis;
 };
 
-type Kind = Pick<RouteRule, 'priority' | 'targetMs'>;
-
 export class PriorityRanks {
-	readonly #kinds = new Map<string, Kind[]>();
+	/** The shortest target latency of each priority, by service. */
+	readonly #targets = new Map<string, Map<number, Millis>>();
 
 	constructor(rules: readonly RouteRule[]) {
 		for (const {parts, priority, targetMs, timeoutMs} of rules) {
 			// A target latency that is not stated is the time-out.
 			if (targetMs < timeoutMs || priority < Number.MAX_SAFE_INTEGER) {
 				for (const {service} of parts) {
-					const kinds = this.#kinds.get(service) ?? [];
-					kinds.push({priority, targetMs});
-					this.#kinds.set(service, kinds);
+					const targets =
+						this.#targets.get(service) ?? new Map<number, Millis>();
+					const shortest = targets.get(priority) ?? Infinity;
+					targets.set(priority, Math.min(shortest, targetMs));
+					this.#targets.set(service, targets);
 				}
 			}
 		}
@@ -34,16 +35,16 @@
 
 	/** Whether a route to the service states a priority or a target latency. */
 	isStated(service: string): boolean {
-		return this.#kinds.has(service);
+		return this.#targets.has(service);
 	}
 
 	of(service: string, priority: number): PriorityRank {
-		const urgent = (this.#kinds.get(service) ?? []).filter(
-			(kind) => kind.priority < priority,
+		const urgent = [...(this.#targets.get(service) ?? [])].filter(
+			([other]) => other < priority,
 		);
 		return {
-			rank: new Set(urgent.map((kind) => kind.priority)).size,
-			urgentTargetMs: Math.min(...urgent.map(({targetMs}) => targetMs)),
+			rank: urgent.length,
+			urgentTargetMs: Math.min(...urgent.map(([, targetMs]) => targetMs)),
 		};
 	}
 }
