--- a/packages/fakes/src/bench.ts
+++ b/packages/fakes/src/bench.ts
@@ -13,6 +13,7 @@
 	'capacity',
 	'fleet',
 	'cost',
+	'choice',
 ];
 
 type Bench = {readonly run: (options: readonly string[]) => Promise<void>};
