Keep the range table short after hot keys

Cause: hot keys that are spread within 2 s leave some 30 short ranges behind each time. Each range is renewed every 1.3 s, and all daemons read the table: 49 spells of hot keys in 300 s left 1,504 ranges for 40 servers.

Change: while a table has more than two ranges for each server, short ranges without load move to the owner of the range beside them, 32 every 4 s at most and within the budget of moved keys; adjacent ranges of one owner are joined with the next write, up to 64.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -296,6 +296,7 @@
 } from './gateway/report-plan.js';
 export {partitionPoint} from './gateway/partition-point.js';
 export {planLoadMoves, type LoadPlanBounds} from './gateway/load-plan.js';
+export {planTidyMoves} from './gateway/tidy-plan.js';
 export {timelyRate, timelyRates} from './gateway/timely-rate.js';
 export {MoveBudget, movedKeysShare} from './gateway/move-budget.js';
 export {serviceTarget} from './gateway/service-target.js';
--- a/packages/core/test/gateway/key-load.test.ts
+++ b/packages/core/test/gateway/key-load.test.ts
@@ -9,6 +9,7 @@
 	applyMoves,
 	planKeyMoves,
 	planLoadMoves,
+	planTidyMoves,
 	SeededRandom,
 	timelyRate,
 	timelyRates,
@@ -393,3 +394,39 @@
 	t.is(joinRanges(table, [], 1).ranges.length, 7);
 	t.deepEqual(joinRanges(joined, [{from: 55, to: 55}], 8), joined);
 });
+
+test('short ranges without requests go to the owner of the range beside them; busy ones and those of a short table stay', (t) => {
+	let table = evenTable();
+	t.deepEqual(planTidyMoves(table, servers, hotRun(40)), []);
+	// Runs of ten keys of s1, given to s2 and s3.
+	for (let from = 20_000; from < 20_400; from += 40) {
+		const holder = table.ranges.find(
+			(range) => range.from <= from && from <= range.to,
+		);
+		const target = servers[2 + ((from / 40) % 2)];
+		table = applyMoves(table, [{from, to: from + 9, holder, target}]);
+	}
+
+	const traffic = {rates: new Map([[20_045, 3]]), runMs};
+	const moves = planTidyMoves(table, servers, traffic);
+	t.true(moves.length > 5);
+	t.false(moves.some(({from, to}) => from <= 20_045 && to >= 20_045));
+	let next = table;
+	for (let round = 0; round < 4; round++) {
+		const tidied = planTidyMoves(next, servers, traffic);
+		next = joinRanges(applyMoves(next, tidied), [], 64);
+	}
+
+	t.true(next.ranges.length <= 8, `${next.ranges.length}`);
+	t.true(
+		next.ranges.every(
+			({from}, index) => index === 0 || from === next.ranges[index - 1].to + 1,
+		),
+	);
+	t.deepEqual(
+		planTidyMoves(table, servers, {...traffic, runMs: new Map()}),
+		[],
+	);
+	const some = planTidyMoves(table, servers, traffic, {maxMovedKeys: 25});
+	t.true(some.length > 0 && some.length <= 2);
+});
--- a/packages/daemon/src/gateway/key-keeper.ts
+++ b/packages/daemon/src/gateway/key-keeper.ts
@@ -24,7 +24,7 @@
 /** How long freed keys wait for others of their plan, since every daemon reads each write of the table. */
 const batchMs: Millis = 250;
 /** Most ranges joined in one write of the table, since each joined range is granted anew. */
-const maxJoined = 8;
+const maxJoined = 64;
 
 /** A move whose keys are held by no server any more and that waits to be written. */
 type FreedMove = {
--- a/packages/daemon/src/gateway/key-planner.ts
+++ b/packages/daemon/src/gateway/key-planner.ts
@@ -12,6 +12,7 @@
 	partitionPoint,
 	planKeyMoves,
 	planLoadMoves,
+	planTidyMoves,
 	runKeyOf,
 	type Clock,
 	type KeyMove,
@@ -120,7 +121,14 @@
 			maxMovedKeys: this.#budget.left(movedKeysShare(), now),
 			isOverloadOnly,
 		};
-		const wanted = planLoadMoves(table, servers, observed, bounds);
+		const byLoad = planLoadMoves(table, servers, observed, bounds);
+		const tidy = isOverloadOnly
+			? []
+			: planTidyMoves(table, servers, observed, {
+					...bounds,
+					maxMovedKeys: bounds.maxMovedKeys - countKeys(byLoad),
+				});
+		const wanted = [...byLoad, ...tidy.filter(overlapsNone(byLoad))];
 		const moves = this.#movable(wanted, servers);
 		this.#nextCheckAt = now + (moves.length > 0 ? settleMs : checkMs);
 		// A plan of which no move is possible yet is made again at the next check.
--- a/packages/daemon/test/key-planner.test.ts
+++ b/packages/daemon/test/key-planner.test.ts
@@ -163,6 +163,7 @@
 		refused: meanOf('refused'),
 		moved: meanOf('moved'),
 		writes: meanOf('writes'),
+		ranges: meanOf('ranges'),
 	};
 }
 
@@ -200,3 +201,15 @@
 		t.true(100 * refused < former.refused);
 	});
 }
+
+test('many spells of hot keys do not leave a long table behind', (t) => {
+	const hot = Array.from({length: 12}, (_, index) => ({
+		at: 6000 * (index + 1),
+		until: 6000 * (index + 1) + 5000,
+		from: (index * 24_571) % 65_000,
+		len: 200,
+		share: 0.37,
+	}));
+	const {ranges} = played({...sceneOf([1], hot), forMs: 80_000});
+	t.true(ranges < 4 * servers, `${ranges}`);
+});
--- a/packages/daemon/test/key-play.ts
+++ b/packages/daemon/test/key-play.ts
@@ -5,6 +5,7 @@
  */
 import {
 	applyMoves,
+	joinRanges,
 	KeyRecorder,
 	maxKey,
 	planKeyMoves,
@@ -78,7 +79,7 @@
 
 /** Shares of the callers' requests; `moved` is a multiple of all keys. */
 export type Outcome = Readonly<
-	Record<'inTime' | 'late' | 'refused' | 'moved' | 'writes', number>
+	Record<'inTime' | 'late' | 'refused' | 'moved' | 'writes' | 'ranges', number>
 >;
 
 type Request = {
@@ -188,6 +189,7 @@
 			refused: refused / total,
 			moved: moved / (maxKey + 1),
 			writes,
+			ranges: this.#table.ranges.length,
 		};
 	}
 
@@ -282,7 +284,9 @@
 
 	#write(moves: readonly KeyMove[]): void {
 		const isFirst = this.#table.ranges.length === 0;
-		this.#table = applyMoves(this.#table, moves);
+		const pending = this.#pending.map(({move}) => move);
+		const apart = isFirst ? moves : pending;
+		this.#table = joinRanges(applyMoves(this.#table, moves), apart, 64);
 		for (const {from, to, target} of moves) {
 			const owner = this.#servers.findIndex(({listed}) => listed === target);
 			this.#owners.fill(owner, from, to + 1);
