--- a/packages/daemon/test/server-admission.test.ts
+++ b/packages/daemon/test/server-admission.test.ts
@@ -65,9 +65,16 @@
 	const hasRoom = (allowedMs: number) => {
 		const now = clock.now();
 		const times = {arrivedAt: now, allowedMs, until: now + allowedMs};
-		const ask = admission.ask(rule, 's', times);
+		const {priority} = rule;
+		const ask = admission.ask(rule, 's', {...times, priority});
 		const request = {id: 'q', rule, ask, othersInTime: () => false};
-		const candidates = {service, servers: [owner], isRetry: false};
+		const crossing = {ownDomain: '', chargeMs: 0};
+		const candidates = {
+			service,
+			servers: [owner],
+			isRetry: false,
+			crossing,
+		};
 		return admission.choose(request, candidates).isRight();
 	};
 
