Mend two ways in which a reader of a watcher missed a change for good

Cause: (1) a reading counted as taken when it was given, though the follower may drop it when a check ends its poll first; (2) a watcher's history is made of its own copies, so that it did not tell the removal of an object which came and went between two of them, and which a reader had from the store. Change: a reading counts once the follower asks from its revision; a watcher tells changes only since a copy of its own, else the reader lists.

--- a/packages/core/test/gateway/watchers.test.ts
+++ b/packages/core/test/gateway/watchers.test.ts
@@ -108,6 +108,16 @@
 	t.deepEqual(history.changesAfter(10), {objects: [], removed: []});
 });
 
+// An object that came and went between two copies used to stay with a daemon that had read it from the store.
+test('a history does not claim to know the changes since a revision of which it had no copy', (t) => {
+	const history = new KindHistory<{name: string; revision: number}>();
+	const kept = [['a', {name: 'a', revision: 3}]] as const;
+	history.update(new Map(kept), 3);
+	history.update(new Map([...kept, ['b', {name: 'b', revision: 6}]]), 6);
+	t.is(history.changesAfter(4), undefined);
+	t.is(history.changesAfter(3)?.objects.length, 1);
+});
+
 test('a peer is used once proven, left at a fault, and probed more and more rarely while silent', (t) => {
 	const [first, second] = entriesOf('a', 2) as Watcher[];
 	const standing = new PeerStanding([first, second], new SeededRandom(1));
--- a/packages/daemon/src/gateway/relayed-store.ts
+++ b/packages/daemon/src/gateway/relayed-store.ts
@@ -101,12 +101,12 @@
 			const outcome = await peers.list(kind);
 			if (
 				outcome.kind === 'read' &&
-				this.#of(kind).advance(outcome.revision, outcome.contentRevision)
+				this.#of(kind).offer(outcome.revision, outcome.contentRevision)
 			) {
 				const {changes, confirmedAt} = outcome;
 				this.#recordPeerRead(kind);
 				return Right<ObjectListing>({
-					revision: this.#of(kind).reached,
+					revision: Math.max(this.#of(kind).reached, outcome.revision),
 					objects: changes.map(({object}) => object),
 					relay: {confirmedAt, byPeer: true},
 				});
@@ -122,6 +122,10 @@
 		waitMs: Millis,
 		stale = false,
 	): Promise<Either<ObjectError, ObjectChanges>> {
+		if (!stale) {
+			this.#of(kind).take(revision);
+		}
+
 		const peers = stale ? undefined : this.#peersFor(kind);
 		if (!peers && (stale || !this.#relayedKinds.has(kind))) {
 			return this.#watchStore(kind, revision, waitMs, stale);
@@ -142,7 +146,8 @@
 
 			case 'read': {
 				const {changes, confirmedAt, contentRevision} = outcome;
-				if (!this.#of(kind).advance(outcome.revision, contentRevision)) {
+				const changedAt = changes.length > 0 ? contentRevision : 0;
+				if (!this.#of(kind).offer(outcome.revision, changedAt)) {
 					return Right({revision, changes: [], relay: unconfirmed});
 				}
 
@@ -186,11 +191,11 @@
 		}
 
 		this.context.metrics.readFrom('store');
-		const isFirst = this.#of(kind).reached === 0;
+		const isFirst = this.#of(kind).isNew;
 		const mayBeOld = isFirst && this.context.startsStale && !stale;
 		const listing = await this.context.store.list(kind, stale || mayBeOld);
 		listing.ifRight(({revision}) => {
-			this.#of(kind).advance(revision, revision);
+			this.#of(kind).offer(revision, revision);
 		});
 		return mayBeOld
 			? listing.map((read) => ({...read, relay: unconfirmed}))
@@ -216,7 +221,7 @@
 		const outcome = await (stale ? call : this.#unlessPeers(call, kind));
 		outcome?.ifRight(({revision: reached, changes}) => {
 			if (!stale) {
-				this.#of(kind).advance(reached, changes.length > 0 ? reached : 0);
+				this.#of(kind).offer(reached, changes.length > 0 ? reached : 0);
 			}
 		});
 		return outcome ?? Right({revision, changes: [], relay: unconfirmed});
