Report key traffic, run times and demand through the watchers

Cause: reports of key traffic are priced writes, and daemons know neither the run times nor the customers' demand that others observe. Change: daemons report each second to their watcher; watchers exchange demand and run times and send key traffic to each service's keeper. FleetReports offers the fleet's run times and demand. What does not reach a keeper is written to the store as before.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -308,6 +308,14 @@
 	type HistoryChanges,
 	type Revised,
 } from './gateway/kind-history.js';
+export {
+	ReportBoard,
+	reportLifeMs,
+	type DaemonReport,
+	type FleetDemand,
+	type MeanRunTime,
+	type ServiceRunTimes,
+} from './gateway/report-board.js';
 export {KindPosition} from './gateway/kind-position.js';
 export {PeerStanding, type PeerFault} from './gateway/peer-standing.js';
 export {RetryAllowance, type RetryBounds} from './gateway/retry-allowance.js';
--- a/packages/daemon/src/gateway/fleet-traffic.ts
+++ b/packages/daemon/src/gateway/fleet-traffic.ts
@@ -1,4 +1,7 @@
-/** Traffic per service, added up over the reports of all daemons. Keepers read it to plan moves. */
+/**
+ * Traffic per service, added up over the reports of all daemons. Keepers read it to plan
+ * moves. What a daemon reported through its peers goes before what it wrote to the store.
+ */
 import {
 	fold,
 	totalTraffic,
@@ -14,6 +17,7 @@
 	type StoredObject,
 } from '@kingcuproute/platform';
 import {type Log} from '../log/log.js';
+import {type RelayedReports} from './relayed-reports.js';
 
 type Report = {
 	readonly revision: number;
@@ -21,34 +25,45 @@
 	readonly services: ReadonlyMap<string, KeyTraffic>;
 };
 
+export type FleetTrafficContext = {
+	readonly store: ObjectStore;
+	readonly clock: Clock;
+	readonly log: Log;
+	readonly relayed: Pick<RelayedReports, 'trafficOf' | 'runTimes'>;
+	/** The age from which a report in the store that has not changed counts no more. */
+	readonly expiryMs: () => Millis;
+};
+
 export class FleetTraffic {
 	#reports: ReadonlyMap<string, Report> = new Map();
 
-	constructor(
-		private readonly store: ObjectStore,
-		private readonly clock: Clock,
-		private readonly log: Log,
-		/** The age from which a report that has not changed counts no more. */
-		private readonly expiryMs: () => Millis,
-	) {}
+	constructor(private readonly context: FleetTrafficContext) {}
 
 	/** The total traffic of a service, without outdated reports. */
 	of(service: string): KeyTraffic {
-		const now = this.clock.now();
-		const expiryMs = this.expiryMs();
-		const parts = [...this.#reports.values()]
-			.filter(({changedAt}) => now - changedAt < expiryMs)
-			.flatMap(({services}) => services.get(service) ?? []);
-		return totalTraffic(parts);
+		const now = this.context.clock.now();
+		const expiryMs = this.context.expiryMs();
+		const relayed = this.context.relayed.trafficOf(service);
+		const stored = [...this.#reports]
+			.filter(
+				([vm, {changedAt}]) => !relayed.has(vm) && now - changedAt < expiryMs,
+			)
+			.flatMap(([, {services}]) => services.get(service) ?? []);
+		const runMs = this.context.relayed.runTimes(service);
+		return totalTraffic([
+			...stored,
+			...[...relayed.values()].map((rates) => ({rates, runMs: new Map()})),
+			{rates: new Map(), runMs},
+		]);
 	}
 
 	/** Reads the reports of all daemons from the store. On failure the former ones stay. */
 	async read(): Promise<void> {
-		const listing = await this.store.list(keyTrafficKind);
+		const listing = await this.context.store.list(keyTrafficKind);
 		fold(
 			listing,
 			(error) => {
-				this.log.info('traffic-not-read', {error: errorText(error)});
+				this.context.log.info('traffic-not-read', {error: errorText(error)});
 			},
 			({objects}) => {
 				this.#reports = new Map(
@@ -67,11 +82,16 @@
 		const services = fold(
 			parseKeyTraffic(spec),
 			([{path, message}]): ReadonlyMap<string, KeyTraffic> => {
-				this.log.warn('traffic-unreadable', {name, revision, path, message});
+				this.context.log.warn('traffic-unreadable', {
+					name,
+					revision,
+					path,
+					message,
+				});
 				return new Map();
 			},
 			(read) => read,
 		);
-		return {revision, changedAt: this.clock.now(), services};
+		return {revision, changedAt: this.context.clock.now(), services};
 	}
 }
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -21,10 +21,12 @@
 import {container} from 'tsyringe';
 import {Log} from '../log/log.js';
 import {logUnexpectedErrors} from '../log/unexpected-errors.js';
+import {type FleetReports} from './fleet-reports.js';
 import {GatewayEntryTask} from './gateway-entry-task.js';
 import {GatewayMetrics} from './gateway-metrics.js';
 import {KeepersTask} from './keepers-task.js';
 import {ObservedStore} from './observed-store.js';
+import {RelayedReports} from './relayed-reports.js';
 import {RelayedStore} from './relayed-store.js';
 import {RelayTask} from './relay-task.js';
 import {StoreContact} from './store-contact.js';
@@ -76,6 +78,9 @@
 			new HttpHealthChecks(clock),
 		);
 		child.registerInstance<KeyOrders>('KeyOrders', new HttpKeyOrders(clock));
+		child.register<FleetReports>('FleetReports', {
+			useFactory: (resolver) => resolver.resolve(RelayedReports),
+		});
 		this.#view = child.resolve(ViewTask);
 		this.#entry = child.resolve(GatewayEntryTask);
 		this.#keepers = child.resolve(KeepersTask);
--- a/packages/daemon/src/gateway/keepers-task.ts
+++ b/packages/daemon/src/gateway/keepers-task.ts
@@ -11,6 +11,7 @@
 	daemonSpec,
 	keepersKind,
 	errorText,
+	parseKeeper,
 	type Deployment,
 	type KeyOrders,
 	type ObjectError,
@@ -23,6 +24,7 @@
 import {KeeperLease} from './keeper-lease.js';
 import {KeyKeeper} from './key-keeper.js';
 import {KindFollower} from './kind-follower.js';
+import {RelayedReports} from './relayed-reports.js';
 import {ServerNotices} from './server-notices.js';
 import {trafficWriteRate} from './traffic-task.js';
 import {ViewTask} from './view-task.js';
@@ -31,6 +33,8 @@
 const registerRetryMs: Millis = 1000;
 /** As often as daemons report changed traffic. */
 const readTrafficMs: Millis = 1000;
+/** While all daemons report through peers, the store is read only in case that one no longer can. */
+const readRelayedMs: Millis = 3000;
 
 type KeptService = {readonly lease: KeeperLease; readonly keeper: KeyKeeper};
 
@@ -44,6 +48,7 @@
 	constructor(
 		@inject(ViewTask) private readonly view: ViewTask,
 		@inject(ServerNotices) private readonly notices: ServerNotices,
+		@inject(RelayedReports) private readonly reports: RelayedReports,
 		@inject('Store') private readonly store: ObjectStore,
 		@inject('KeyOrders') private readonly orders: KeyOrders,
 		@inject('Deployment') private readonly deployment: Deployment,
@@ -52,9 +57,19 @@
 		@inject(Log) private readonly log: Log,
 	) {
 		super();
-		this.#traffic = new FleetTraffic(store, clock, log, () =>
-			reportExpiryMs(view.view.value.daemons, trafficWriteRate(deployment)),
-		);
+		this.#traffic = new FleetTraffic({
+			store,
+			clock,
+			log,
+			relayed: reports,
+			expiryMs: () =>
+				reportExpiryMs(view.view.value.daemons, trafficWriteRate(deployment)),
+		});
+		reports.setKeepers({
+			services: () => [...this.#keepers.keys()],
+			isKept: (service) => this.#keepers.get(service)?.lease.isHeld ?? false,
+			addressOf: (service) => this.#keeperAddress(service),
+		});
 		this.#leases = new KindFollower(keepersKind, {
 			store,
 			clock,
@@ -97,10 +112,14 @@
 
 	/** Reads the fleet's traffic periodically while this daemon is a keeper. */
 	async #readTraffic(): Promise<void> {
+		let readAt = -Infinity;
 		while (!this.#stopped) {
 			const isKeeper = this.#isKeeper();
 			this.view.followServersClosely(isKeeper);
-			if (isKeeper) {
+			const now = this.clock.now();
+			const pauseMs = this.#isTrafficRelayed() ? readRelayedMs : 0;
+			if (isKeeper && now - readAt >= pauseMs) {
+				readAt = now;
 				await this.#traffic.read();
 			}
 
@@ -108,6 +127,21 @@
 		}
 	}
 
+	/** Whether all daemons report through peers, so that none needs to write to the store. */
+	#isTrafficRelayed(): boolean {
+		const {reporters} = this.reports;
+		const {entries} = this.view.view.value;
+		return entries.length > 0 && entries.every(({vm}) => reporters.has(vm));
+	}
+
+	#keeperAddress(service: string): string | undefined {
+		const lease = this.#leases.objects.value?.get(service);
+		const keeper =
+			lease && parseKeeper(lease.spec).orDefault({vm: '', beat: 0});
+		const {entries} = this.view.view.value;
+		return entries.find(({vm}) => vm === keeper?.vm)?.address;
+	}
+
 	#setPollingPace(): void {
 		const slow = !this.#isStandby();
 		this.#leases.slow = slow;
--- a/packages/daemon/src/gateway/peer-link.ts
+++ b/packages/daemon/src/gateway/peer-link.ts
@@ -82,6 +82,11 @@
 		});
 	}
 
+	/** The peer that is read from, if one is fit. */
+	get best(): Watcher | undefined {
+		return this.#standing.best;
+	}
+
 	override get isUsable(): boolean {
 		return this.#standing.best !== undefined;
 	}
--- a/packages/daemon/src/gateway/relay-task.ts
+++ b/packages/daemon/src/gateway/relay-task.ts
@@ -16,6 +16,7 @@
 import {Log} from '../log/log.js';
 import {Task} from '../task/task.js';
 import {GatewayMetrics} from './gateway-metrics.js';
+import {RelayedReports} from './relayed-reports.js';
 import {RelayedStore} from './relayed-store.js';
 import {type RelayNode} from './relay-node.js';
 import {StoreContact} from './store-contact.js';
@@ -42,6 +43,7 @@
 	constructor(
 		@inject(ViewTask) private readonly view: ViewTask,
 		@inject(RelayedStore) private readonly reads: RelayedStore,
+		@inject(RelayedReports) private readonly reports: RelayedReports,
 		@inject(StoreContact) private readonly contact: StoreContact,
 		@inject('Deployment') private readonly deployment: Deployment,
 		@inject('Clock') private readonly clock: Clock,
@@ -66,6 +68,7 @@
 
 	override async stop(): Promise<void> {
 		this.#stopped = true;
+		this.reports.stop();
 		this.#node?.close();
 	}
 
@@ -91,6 +94,21 @@
 		}
 	}
 
+	/** The addresses of all other watchers of the fleet; undefined if this daemon is none. */
+	#otherWatchers(): readonly string[] | undefined {
+		if (!this.#isWatcher) {
+			return undefined;
+		}
+
+		const domains = new Set(
+			this.#entries.map(({failureDomain}) => failureDomain),
+		);
+		return [...domains]
+			.flatMap((domain) => chooseWatchers(domain, this.#entries))
+			.filter(({vm}) => vm !== this.deployment.vm)
+			.map(({address}) => address);
+	}
+
 	/** The peer that asks knows of daemons that this one does not know of. */
 	#refreshEntries(): void {
 		const now = this.clock.now();
@@ -123,9 +141,15 @@
 			onUnready: () => {
 				this.#refreshEntries();
 			},
+			receive: (message) => this.reports.receive(message),
 		});
 		this.#node = node;
 		reads.setPeers(node.link);
+		this.reports.start({
+			send: async (address, message) => node.report(address, message),
+			peer: () => node.link.best?.address,
+			watchers: () => this.#otherWatchers(),
+		});
 		try {
 			const port = await node.listen(this.deployment.peer!.address);
 			log.info('listening-for-peers', {port});
--- a/packages/daemon/src/gateway/traffic-task.ts
+++ b/packages/daemon/src/gateway/traffic-task.ts
@@ -1,6 +1,7 @@
 /**
- * Records the requests for services divided by key, and reports them to the keepers
- * through an object in the platform's store.
+ * Records the requests for services divided by key, for the reports to the keepers. While
+ * these do not reach a keeper through peers, it reports through an object in the
+ * platform's store.
  */
 import {
 	fold,
@@ -9,8 +10,12 @@
 	reportIntervalMs,
 	type Clock,
 	type KeyTraffic,
+	type MeanRunTime,
+	type Millis,
 	type Random,
 	type SentReport,
+	type ServiceRates,
+	type ServiceRunTimes,
 } from '@kingcuproute/core';
 import {
 	keyTrafficKind,
@@ -22,6 +27,7 @@
 import {inject, singleton} from 'tsyringe';
 import {Log} from '../log/log.js';
 import {Task} from '../task/task.js';
+import {RelayedReports} from './relayed-reports.js';
 import {ServerPicks} from './server-picks.js';
 import {ViewTask} from './view-task.js';
 
@@ -38,6 +44,7 @@
 	constructor(
 		@inject(ViewTask) private readonly view: ViewTask,
 		@inject(ServerPicks) private readonly picks: ServerPicks,
+		@inject(RelayedReports) private readonly reports: RelayedReports,
 		@inject('Store') private readonly store: ObjectStore,
 		@inject('Deployment') private readonly deployment: Deployment,
 		@inject('Clock') private readonly clock: Clock,
@@ -56,6 +63,10 @@
 	}
 
 	override async start(): Promise<void> {
+		this.reports.setObserved({
+			rates: () => this.#rates(this.clock.now()),
+			runTimes: () => this.#runTimes(),
+		});
 		void this.#run();
 	}
 
@@ -71,17 +82,42 @@
 				this.random.jitter(reportIntervalMs(daemons, writeRate)),
 			);
 			const now = this.clock.now();
-			const services = [...this.#recorders].map(
-				([service, recorder]) => [service, recorder.rates(now)] as const,
-			);
-			const rates = new Map(services.filter(([, {size}]) => size > 0));
-			const isDue = isReportDue(this.#lastReport, rates, now);
+			const rates = this.#rates(now);
+			const isDue =
+				isReportDue(this.#lastReport, rates, now) && !this.#isDelivered(rates);
 			if (rates.size > 0 && isDue && !this.#stopped) {
 				await this.#report({rates, at: now});
 			}
 		}
 	}
 
+	#rates(now: Millis): ServiceRates {
+		const services = [...this.#recorders].map(
+			([service, recorder]) => [service, recorder.rates(now)] as const,
+		);
+		return new Map(services.filter(([, {size}]) => size > 0));
+	}
+
+	#runTimes(): ServiceRunTimes {
+		const {inService} = this.view.view.value;
+		const services = [...inService].map(
+			([service, servers]) =>
+				[service, this.picks.loads.runTimes(servers)] as const,
+		);
+		return new Map(
+			services
+				.filter(([, {size}]) => size > 0)
+				.map(([service, times]) => [service, meansOf(times)]),
+		);
+	}
+
+	/** Whether the keepers receive this traffic through peers. */
+	#isDelivered(rates: ServiceRates): boolean {
+		return [...rates.keys()].every((service) =>
+			this.reports.isDelivered(service),
+		);
+	}
+
 	#trafficOf(service: string, rates: KeyTraffic['rates']): KeyTraffic {
 		const servers = this.view.view.value.inService.get(service) ?? [];
 		return {rates, runMs: this.picks.loads.runTimes(servers)};
@@ -118,6 +154,15 @@
 	}
 }
 
+/** The run times at one daemon. */
+function meansOf(
+	times: ReadonlyMap<string, Millis>,
+): ReadonlyMap<string, MeanRunTime> {
+	return new Map(
+		[...times].map(([server, runMs]) => [server, {runMs, daemons: 1}]),
+	);
+}
+
 /** Writes a second that the reports of all daemons may take. */
 export function trafficWriteRate({store}: Deployment): number {
 	return store.writeRate * writeShare;
--- a/packages/fakes/test/gateway-fleet.ts
+++ b/packages/fakes/test/gateway-fleet.ts
@@ -74,7 +74,11 @@
 		await this.storeLink.close();
 	}
 
-	async statusOf(target: string): Promise<number> {
+	/** Sends a request, with `fields` in addition; resolves with the status of the answer. */
+	async statusOf(
+		target: string,
+		fields: Readonly<Record<string, string>> = {},
+	): Promise<number> {
 		const res = await request(`http://${this.entry}${target}`, {
 			method: 'POST',
 			body: 'b',
@@ -82,6 +86,7 @@
 				host: 'shop.example',
 				'x-kingcuproute-request-id': `q${target}`,
 				'x-kingcuproute-deadline-ms': '20000',
+				...fields,
 			},
 		});
 		await res.body.dump();
@@ -105,6 +110,10 @@
 export class Fleet {
 	readonly store = new StandInStore();
 	readonly daemons: FleetDaemon[] = [];
+	/** The configuration that the store holds at the start. */
+	config: unknown = plainConfig;
+	/** The service of the backend server. */
+	service = 'plain';
 	readonly #folder = mkdtempSync(path.join(tmpdir(), 'fleet-'));
 	#server: Server | undefined;
 	#version = 1;
@@ -113,7 +122,12 @@
 	async start(domains: readonly string[]): Promise<void> {
 		const store = await this.store.start();
 		this.#server = createServer((req, res) => {
-			sendAnswer(req, res, '');
+			if (req.url!.startsWith('/kingcuproute/')) {
+				res.writeHead(200, {'x-kingcuproute-handover': 'h'});
+				res.end();
+			} else {
+				sendAnswer(req, res, '');
+			}
 		});
 		this.#server.listen(0, '127.0.0.1');
 		await once(this.#server, 'listening');
@@ -124,11 +138,11 @@
 			{
 				addr: `127.0.0.1:${port}`,
 				born: 1,
-				info: {service: 'plain', version: 'v1', zone: 'a', slots: 100},
+				info: {service: this.service, version: 'v1', zone: 'a', slots: 100},
 			},
 			{state: 'ready', seq: 1, coldLeftMs: 0},
 		);
-		this.store.put('config', 'main', plainConfig);
+		this.store.put('config', 'main', this.config);
 		for (const [index, domain] of domains.entries()) {
 			const vm = `front-${domain}-${index}`;
 			const capacity = 1 / (index + 1);
--- a/packages/fakes/test/gateway-relays.test.ts
+++ b/packages/fakes/test/gateway-relays.test.ts
@@ -1,6 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import {createFleet, type Fleet, type FleetDaemon} from './gateway-fleet.js';
+import {siteConfig} from './gateway-site.js';
 import {until} from './requests-fixture.js';
 
 // The daemons are busy while they start; one fleet at a time shows delays of their own.
@@ -148,3 +149,43 @@
 		t.is(await total(fleet.daemons, peerReads), 0);
 	},
 );
+
+// Each report of key traffic used to be a priced write.
+test.serial(
+	'key traffic is reported through the watcher, and through the store once that has ended',
+	async (t) => {
+		const fleet = createFleet(t);
+		fleet.config = siteConfig;
+		fleet.service = 'keyed';
+		await fleet.start(['a', 'a', 'a', 'a']);
+		const [watcher, ...others] = fleet.daemons;
+		await watcher.line('event=watcher-changed');
+		const over = new AbortController();
+		t.teardown(() => {
+			over.abort();
+		});
+		const send = async (daemon: FleetDaemon) => {
+			while (!over.signal.aborted) {
+				await daemon.statusOf('/hold/', {'x-kingcuproute-shard-key': '7'});
+				await sleep(50);
+			}
+		};
+
+		const sending = Promise.all(others.map(async (daemon) => send(daemon)));
+		const writes =
+			/^kingcuproute_gateway_store_calls_total.*key-traffic.*write/;
+		// Steady traffic is written every 4 s.
+		const quietMs = 6000;
+		await until(async () => {
+			const before = await total(others, writes);
+			await sleep(quietMs);
+			return (await total(others, writes)) === before;
+		});
+		const before = await total(others, writes);
+		await watcher.kill();
+		await until(async () => (await total(others, writes)) > before);
+		over.abort();
+		await sending;
+		t.pass();
+	},
+);
--- a/packages/mesh/src/relay-rpc.ts
+++ b/packages/mesh/src/relay-rpc.ts
@@ -7,6 +7,10 @@
 export type KindReadingMessage = relay.IKindReading;
 export type RelayedChangeMessage = relay.IChange;
 export type RelayListMessage = relay.IListRequest;
+export type DaemonReportMessage = relay.IDaemonReport;
+export type RunTimesMessage = relay.IServiceRunTimes;
+export type ReportMessage = relay.IReportRequest;
+export type ReportAnswerMessage = relay.IReportAnswer;
 export const relayStanding = relay.Standing;
 
 /** Waits for changes of several kinds of object together. */
@@ -23,3 +27,11 @@
 	answer: relay.FollowAnswer,
 	large: true,
 };
+
+/** Reports what daemons have observed. */
+export const reportObserved: Rpc<relay.IReportRequest, relay.IReportAnswer> = {
+	path: '/relay.Relay/Report',
+	question: relay.ReportRequest,
+	answer: relay.ReportAnswer,
+	large: true,
+};
