--- a/packages/daemon/src/gateway/fleet-reports.ts
+++ b/packages/daemon/src/gateway/fleet-reports.ts
@@ -1,23 +1,13 @@
-/** What all daemons report to each other: run times of backend servers and customers' demand. */
-import {type Millis} from '@kingcuproute/core';
-
-/** The customers' demand over the fleet, as far as reports show it. */
-export type FleetDemand = {
-	/** Requests a second, by customer. */
-	readonly rates: ReadonlyMap<string, number>;
-	/** How many daemons' reports the rates contain. */
-	readonly daemons: number;
-	/** When this daemon received them. */
-	readonly at: Millis;
-};
+/** What the daemons of the fleet report to each other, as routing and limits read it. */
+import {type FleetDemand, type Millis} from '@kingcuproute/core';
 
 export abstract class FleetReports {
-	/** Undefined until a report has been received. */
+	/** The customers' demand over all daemons; undefined while nothing recent is known. */
 	abstract get demand(): FleetDemand | undefined;
 
-	/** How long requests of a service run, by backend server, measured by all daemons. */
+	/** How long requests of a service run at its servers, as the mean of the daemons; empty while nothing recent is known. */
 	abstract runTimes(service: string): ReadonlyMap<string, Millis>;
 
-	/** Sets what this daemon reports: its requests a second, by customer. */
+	/** Sets where this daemon's demand by customer, in requests a second, is read from. */
 	abstract setDemand(source: () => ReadonlyMap<string, number>): void;
 }
--- a/packages/daemon/src/gateway/fleet-traffic.ts
+++ b/packages/daemon/src/gateway/fleet-traffic.ts
@@ -1,4 +1,7 @@
-/** Traffic per service, added up over the reports of all daemons. Keepers read it to plan moves. */
+/**
+ * Traffic per service, added up over the reports of all daemons. Keepers read it to plan
+ * moves. What a daemon reported through its peers goes before what it wrote to the store.
+ */
 import {
 	fold,
 	totalTraffic,
@@ -14,6 +17,10 @@
 	type StoredObject,
 } from '@kingcuproute/platform';
 import {type Log} from '../log/log.js';
+import {type RelayedReports} from './relayed-reports.js';
+
+/** A total is used for this long: watchers send their sums several times a second in all. */
+const totalsMs: Millis = 200;
 
 type Report = {
 	readonly revision: number;
@@ -21,34 +28,46 @@
 	readonly services: ReadonlyMap<string, KeyTraffic>;
 };
 
+export type FleetTrafficContext = {
+	readonly store: ObjectStore;
+	readonly clock: Clock;
+	readonly log: Log;
+	readonly relayed: Pick<RelayedReports, 'trafficOf' | 'runTimes'>;
+	/** The age from which a report in the store that has not changed counts no more. */
+	readonly expiryMs: () => Millis;
+};
+
 export class FleetTraffic {
 	#reports: ReadonlyMap<string, Report> = new Map();
-	/** The totals by service since the last read, because keepers ask for them more often than there are new reports. */
-	readonly #totals = new Map<string, KeyTraffic>();
+	/** The last totals by service, because keepers ask for them more often than there are new reports. */
+	readonly #totals = new Map<
+		string,
+		{readonly traffic: KeyTraffic; readonly at: Millis}
+	>();
 
-	constructor(
-		private readonly store: ObjectStore,
-		private readonly clock: Clock,
-		private readonly log: Log,
-		/** The age from which a report that has not changed counts no more. */
-		private readonly expiryMs: () => Millis,
-	) {}
+	constructor(private readonly context: FleetTrafficContext) {}
 
-	/** The total traffic of a service, without reports that were outdated at the last read; the same object until the next one. */
+	/** The total traffic of a service, without outdated reports; the same object for a moment. */
 	of(service: string): KeyTraffic {
-		const total = this.#totals.get(service) ?? this.#total(service);
-		this.#totals.set(service, total);
-		return total;
+		const now = this.context.clock.now();
+		const known = this.#totals.get(service);
+		if (known && now - known.at < totalsMs) {
+			return known.traffic;
+		}
+
+		const traffic = this.#total(service, now);
+		this.#totals.set(service, {traffic, at: now});
+		return traffic;
 	}
 
 	/** Reads the reports of all daemons from the store. On failure the former ones stay. */
 	async read(): Promise<void> {
-		const listing = await this.store.list(keyTrafficKind);
+		const listing = await this.context.store.list(keyTrafficKind);
 		this.#totals.clear();
 		fold(
 			listing,
 			(error) => {
-				this.log.info('traffic-not-read', {error: errorText(error)});
+				this.context.log.info('traffic-not-read', {error: errorText(error)});
 			},
 			({objects}) => {
 				this.#reports = new Map(
@@ -58,13 +77,20 @@
 		);
 	}
 
-	#total(service: string): KeyTraffic {
-		const now = this.clock.now();
-		const expiryMs = this.expiryMs();
-		const parts = [...this.#reports.values()]
-			.filter(({changedAt}) => now - changedAt < expiryMs)
-			.flatMap(({services}) => services.get(service) ?? []);
-		return totalTraffic(parts);
+	#total(service: string, now: Millis): KeyTraffic {
+		const {relayed, expiryMs} = this.context;
+		const maxAgeMs = expiryMs();
+		const rates = relayed.trafficOf(service);
+		const stored = [...this.#reports]
+			.filter(
+				([vm, {changedAt}]) => !rates.has(vm) && now - changedAt < maxAgeMs,
+			)
+			.flatMap(([, {services}]) => services.get(service) ?? []);
+		return totalTraffic([
+			...stored,
+			...[...rates.values()].map((part) => ({rates: part, runMs: new Map()})),
+			{rates: new Map(), runMs: relayed.runTimes(service)},
+		]);
 	}
 
 	#parseReport({name, revision, spec}: StoredObject): Report {
@@ -76,11 +102,16 @@
 		const services = fold(
 			parseKeyTraffic(spec),
 			([{path, message}]): ReadonlyMap<string, KeyTraffic> => {
-				this.log.warn('traffic-unreadable', {name, revision, path, message});
+				this.context.log.warn('traffic-unreadable', {
+					name,
+					revision,
+					path,
+					message,
+				});
 				return new Map();
 			},
 			(read) => read,
 		);
-		return {revision, changedAt: this.clock.now(), services};
+		return {revision, changedAt: this.context.clock.now(), services};
 	}
 }
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -26,8 +26,8 @@
 import {GatewayEntryTask} from './gateway-entry-task.js';
 import {GatewayMetrics} from './gateway-metrics.js';
 import {KeepersTask} from './keepers-task.js';
-import {NoFleetReports} from './no-fleet-reports.js';
 import {ObservedStore} from './observed-store.js';
+import {RelayedReports} from './relayed-reports.js';
 import {RelayedStore} from './relayed-store.js';
 import {RelayTask} from './relay-task.js';
 import {StoreContact} from './store-contact.js';
@@ -85,7 +85,9 @@
 			new HttpHealthChecks(clock),
 		);
 		child.registerInstance<KeyOrders>('KeyOrders', new HttpKeyOrders(clock));
-		child.registerInstance<FleetReports>('FleetReports', new NoFleetReports());
+		child.register<FleetReports>('FleetReports', {
+			useFactory: (resolver) => resolver.resolve(RelayedReports),
+		});
 		this.#view = child.resolve(ViewTask);
 		this.#quotas = child.resolve(CustomerQuotas);
 		this.#entry = child.resolve(GatewayEntryTask);
--- a/packages/daemon/src/gateway/server-picks.ts
+++ b/packages/daemon/src/gateway/server-picks.ts
@@ -22,6 +22,7 @@
 import {type Deployment} from '@kingcuproute/platform';
 import {Left, Right, type Either} from 'purify-ts';
 import {inject, singleton} from 'tsyringe';
+import {FleetReports} from './fleet-reports.js';
 import {type RequestEnd} from './request-end.js';
 import {
 	ServerAdmission,
@@ -98,8 +99,11 @@
 		@inject('Deployment') private readonly deployment: Deployment,
 		@inject('Clock') private readonly clock: Clock,
 		@inject('Random') private readonly random: Random,
+		@inject('FleetReports') reports: FleetReports,
 	) {
-		this.loads = new ServerLoads(random);
+		this.loads = new ServerLoads(random, (service) =>
+			reports.runTimes(service),
+		);
 		this.admission = new ServerAdmission(
 			this.loads,
 			view,
--- a/packages/daemon/test/customer-quotas.test.ts
+++ b/packages/daemon/test/customer-quotas.test.ts
@@ -4,12 +4,13 @@
 	RouteTable,
 	SeededRandom,
 	type Customer,
+	type FleetDemand,
 	type RouteRule,
 } from '@kingcuproute/core';
 import {type Deployment} from '@kingcuproute/platform';
 import {pino} from 'pino';
 import {CustomerQuotas} from '../src/gateway/customer-quotas.js';
-import {FleetReports, type FleetDemand} from '../src/gateway/fleet-reports.js';
+import {FleetReports} from '../src/gateway/fleet-reports.js';
 import {GatewayMetrics} from '../src/gateway/gateway-metrics.js';
 import {type GatewayView, type ViewTask} from '../src/gateway/view-task.js';
 import {Log} from '../src/log/log.js';
