Even out key load by averages over some seconds, within a budget from 16 daemons on

Cause: plans were made from rates of one second, where the rate of a server varies by a third by chance, so that only differences of 2.5 standard deviations were evened out and slow servers kept too many keys.

Change: SteadyTraffic averages over 8 s; keys whose rate has fallen count with the present one. Overloaded servers are relieved by present rates as before. The default budget of moved keys holds from 16 daemons on.

--- a/packages/core/src/gateway/load-plan.ts
+++ b/packages/core/src/gateway/load-plan.ts
@@ -64,6 +64,8 @@
 	readonly maxMovedKeys?: number;
 	/** Whether only overloaded servers give keys away. */
 	readonly isOverloadOnly?: boolean;
+	/** Time constant over which the rates were averaged. */
+	readonly spanMs?: Millis;
 };
 
 /** A server and the load that its keys cause. */
@@ -120,13 +122,19 @@
 	readonly #servers: LoadedServer[];
 	readonly #meanRate: number;
 	readonly #minDonorLoad: number;
+	readonly #spanMs: Millis;
 	#keysLeft: number;
 
 	constructor(
 		servers: readonly LoadedServer[],
 		private readonly keys: RatedKeys,
-		{maxMovedKeys = Infinity, isOverloadOnly = false}: LoadPlanBounds,
+		{
+			maxMovedKeys = Infinity,
+			isOverloadOnly = false,
+			spanMs = trafficDecayMs,
+		}: LoadPlanBounds,
 	) {
+		this.#spanMs = spanMs;
 		this.#servers = [...servers];
 		this.#keysLeft = maxMovedKeys;
 		const mean = meanLoad(servers);
@@ -199,7 +207,10 @@
 		const crowdedFrom = Math.max(crowdedLoad, ceiling);
 		const exhausted = new Set(
 			this.#servers
-				.filter((server) => !server.isHot && !isSignificant(server, mean))
+				.filter(
+					(server) =>
+						!server.isHot && !isSignificant(server, mean, this.#spanMs),
+				)
 				.map(({server}) => runKeyOf(server)),
 		);
 		let easyMoves = 0;
@@ -338,9 +349,13 @@
 }
 
 /** Whether chance does not explain how much a server's load is above the mean. */
-function isSignificant({load, cost}: LoadedServer, mean: number): boolean {
+function isSignificant(
+	{load, cost}: LoadedServer,
+	mean: number,
+	spanMs: Millis,
+): boolean {
 	// A rate estimated from random requests has the variance of rate times this.
-	const unit = secondMs / (2 * trafficDecayMs);
+	const unit = secondMs / (2 * spanMs);
 	const deviation = Math.sqrt(mean * cost * unit);
 	return load - mean >= significance * deviation;
 }
--- a/packages/core/src/gateway/move-budget.ts
+++ b/packages/core/src/gateway/move-budget.ts
@@ -7,7 +7,7 @@
 import {maxKey} from './key-range.js';
 
 /** Daemons from which on moves are bounded if the settings don't say: the keepers of smaller deployments have few keys with load to move. */
-const manyDaemons = 60;
+const manyDaemons = 16;
 /** For these: all keys in 100 s. On scaled-down days, moving all keys once cost 0.02 to 0.04 of a day's value. */
 const defaultShare = 0.01;
 /** A budget that is not used adds up for this long: to 0.3 of all keys by default, which evens out servers of three speeds. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -374,6 +374,7 @@
 	type DomainCrossing,
 	type Transfer,
 } from './gateway/domain-crossing.js';
+export {SteadyTraffic} from './gateway/steady-traffic.js';
 export {ServerIndex, type ServerSample} from './gateway/server-index.js';
 export {
 	admission,
--- a/packages/daemon/src/gateway/key-planner.ts
+++ b/packages/daemon/src/gateway/key-planner.ts
@@ -9,6 +9,7 @@
 	ownerKeyOf,
 	applyMoves,
 	MoveBudget,
+	SteadyTraffic,
 	partitionPoint,
 	planKeyMoves,
 	planLoadMoves,
@@ -53,6 +54,7 @@
 
 export class KeyPlanner {
 	readonly #budget = new MoveBudget();
+	readonly #steady = new SteadyTraffic();
 	#nextCheckAt: Millis = -Infinity;
 	#nextEvenOutAt: Millis = -Infinity;
 	/** What the last plan was made from, and when. */
@@ -115,13 +117,17 @@
 			return [];
 		}
 
+		if (observed !== this.#planned?.traffic) {
+			this.#steady.update(observed, now);
+		}
+
 		const isOverloadOnly = now < this.#nextEvenOutAt;
 		const bounds = {
 			targetMs: targetMs(),
 			maxMovedKeys: this.#budget.left(movedKeysShare(), now),
 			isOverloadOnly,
 		};
-		const byLoad = planLoadMoves(table, servers, observed, bounds);
+		const byLoad = this.#planByLoad(table, servers, observed, bounds);
 		const tidy = isOverloadOnly
 			? []
 			: planTidyMoves(table, servers, observed, {
@@ -147,6 +153,27 @@
 		return moves;
 	}
 
+	/** Relieves overloaded servers by the present rates; else evens out by rates averaged over some seconds. */
+	#planByLoad(
+		table: RangeTable,
+		servers: readonly ListedServer[],
+		observed: KeyTraffic,
+		bounds: LoadPlanBounds,
+	): readonly KeyMove[] {
+		const urgent = planLoadMoves(table, servers, observed, {
+			...bounds,
+			isOverloadOnly: true,
+		});
+		const isEnough = bounds.isOverloadOnly ?? false;
+		if (isEnough || urgent.length > 0) {
+			return urgent;
+		}
+
+		const {spanMs} = this.#steady;
+		const average = this.#steady.averageOf(observed);
+		return planLoadMoves(table, servers, average, {...bounds, spanMs});
+	}
+
 	#recordMoves(
 		moves: readonly KeyMove[],
 		{rates, runMs}: KeyTraffic,
