--- a/packages/core/src/gateway/key-plan.ts
+++ b/packages/core/src/gateway/key-plan.ts
@@ -8,6 +8,7 @@
 import {type Millis} from '../time/clock.js';
 import {type ListedServer} from './listed-server.js';
 import {
+	lenOf,
 	maxKey,
 	ownerKeyOf,
 	rangesByOwner,
@@ -326,7 +327,3 @@
 
 	return count;
 }
-
-function lenOf({from, to}: KeyRange): number {
-	return to - from + 1;
-}
--- a/packages/core/src/gateway/key-range.ts
+++ b/packages/core/src/gateway/key-range.ts
@@ -65,3 +65,8 @@
 	const range = ranges.at(partitionPoint(ranges, ({to}) => to < key));
 	return range && range.from <= key ? range : undefined;
 }
+
+/** The number of keys of a range. */
+export function lenOf({from, to}: Pick<KeyRange, 'from' | 'to'>): number {
+	return to - from + 1;
+}
--- a/packages/core/src/gateway/load-plan.ts
+++ b/packages/core/src/gateway/load-plan.ts
@@ -10,14 +10,16 @@
 import {type Millis} from '../time/clock.js';
 import {type ListedServer} from './listed-server.js';
 import {
+	lenOf,
 	maxKey,
 	rangesByOwner,
 	type KeyRange,
 	type RangeTable,
 } from './key-range.js';
+import {highestOf, isInner, runsOf, runsUpTo, type KeyRun} from './key-run.js';
 import {withoutKeys, type KeyMove} from './key-plan.js';
 import {type KeyTraffic, trafficDecayMs} from './key-traffic.js';
-import {partitionPoint} from './partition-point.js';
+import {keysIn, ratedKeysOf, totalRate, type RatedKeys} from './rated-keys.js';
 import {runKeyOf} from './server-run.js';
 import {timelyRates} from './timely-rate.js';
 
@@ -51,7 +53,7 @@
 const maxHotShare = 0.1;
 /** A server counts as the fastest if none is faster by more than this factor: a smaller gain is not worth the move. */
 const fasterRatio = 1.15;
-/** A moved key costs as much as this share of the mean rate of a key: chosen so that a run of few busy keys goes before half a range. */
+/** A moved key costs as much as this share of the mean rate of a key, so that a run of few busy keys goes before half a range. */
 const movedKeyWeight = 0.5;
 /** A run that leaves three ranges of one costs this share of the recipient's rate, since every daemon reads all ranges. */
 const splitWeight = 0.03;
@@ -81,17 +83,6 @@
 	readonly isHot: boolean;
 };
 
-/** A contiguous part of one range, and the requests a second for its keys. */
-type KeyRun = {
-	readonly from: number;
-	readonly to: number;
-	readonly holder: KeyRange;
-	readonly rate: number;
-};
-
-/** Keys in ascending order, each with its requests a second. */
-type RatedKeys = ReadonlyArray<readonly [number, number]>;
-
 /** The moves that even out the load, none of which includes a key of another; none if no run time is known. */
 export function planLoadMoves(
 	table: RangeTable,
@@ -104,7 +95,7 @@
 		return [];
 	}
 
-	const keys = [...traffic.rates].sort(([a], [b]) => a - b);
+	const keys = ratedKeysOf(traffic);
 	const byOwner = rangesByOwner(table.ranges);
 	const loadedServers = servers.map((server) =>
 		withLoad(
@@ -385,99 +376,3 @@
 
 	return {server, ranges, cost, load: rate * cost, isHot: false};
 }
-
-/** For each requested key, the longest run from it with at most `maxRate`; extended to the ends of the range where it includes all requests up to there. */
-function runsUpTo(
-	holder: KeyRange,
-	keys: RatedKeys,
-	maxRate: number,
-): readonly KeyRun[] {
-	const runs: KeyRun[] = [];
-	let end = 0;
-	let rate = 0;
-	for (const [start, [firstKey, firstRate]] of keys.entries()) {
-		while (end < keys.length && rate + keys[end][1] <= maxRate) {
-			rate += keys[end][1];
-			end++;
-		}
-
-		if (end > start) {
-			const from = start === 0 ? holder.from : firstKey;
-			const to = end === keys.length ? holder.to : keys[end - 1][0];
-			runs.push({from, to, holder, rate});
-			rate -= firstRate;
-		} else {
-			end = start + 1;
-			rate = 0;
-		}
-	}
-
-	return runs;
-}
-
-/** The whole range, each requested key, and both sides of every split next to one of them. */
-function runsOf(holder: KeyRange, keys: RatedKeys): readonly KeyRun[] {
-	const total = totalRate(keys);
-	const runs: KeyRun[] = [
-		{from: holder.from, to: holder.to, holder, rate: total},
-	];
-	let rate = 0;
-	for (const [key, keyRate] of keys) {
-		runs.push({from: key, to: key, holder, rate: keyRate});
-		if (key > holder.from) {
-			runs.push({from: key, to: holder.to, holder, rate: total - rate});
-		}
-
-		rate += keyRate;
-		if (key < holder.to) {
-			runs.push({from: holder.from, to: key, holder, rate});
-		}
-	}
-
-	return runs;
-}
-
-/** The run of the highest value, and of these the shortest. */
-function highestOf(
-	runs: readonly KeyRun[],
-	value: (run: KeyRun) => number,
-): KeyRun | undefined {
-	let best: {readonly run: KeyRun; readonly value: number} | undefined;
-	for (const run of runs) {
-		const current = value(run);
-		if (
-			!best ||
-			current > best.value ||
-			(current === best.value && lenOf(run) < lenOf(best.run))
-		) {
-			best = {run, value: current};
-		}
-	}
-
-	return best?.run;
-}
-
-/** Whether keys of the range remain on both sides of the run. */
-function isInner({from, to, holder}: KeyRun): boolean {
-	return from > holder.from && to < holder.to;
-}
-
-function keysIn({from, to}: KeyRange, keys: RatedKeys): RatedKeys {
-	return keys.slice(
-		partitionPoint(keys, ([key]) => key < from),
-		partitionPoint(keys, ([key]) => key <= to),
-	);
-}
-
-function totalRate(keys: RatedKeys): number {
-	let sum = 0;
-	for (const [, rate] of keys) {
-		sum += rate;
-	}
-
-	return sum;
-}
-
-function lenOf({from, to}: Pick<KeyRun, 'from' | 'to'>): number {
-	return to - from + 1;
-}
--- a/packages/core/src/gateway/tidy-plan.ts
+++ b/packages/core/src/gateway/tidy-plan.ts
@@ -4,17 +4,12 @@
  * after four spells of hot keys. A short range with hardly any requests goes to the owner of
  * the range beside it, and the two are joined with the next write of the table.
  */
-import {
-	maxKey,
-	ownerKeyOf,
-	type KeyRange,
-	type RangeTable,
-} from './key-range.js';
+import {lenOf, maxKey, ownerKeyOf, type RangeTable} from './key-range.js';
 import {type KeyMove} from './key-plan.js';
 import {type KeyTraffic} from './key-traffic.js';
 import {type ListedServer} from './listed-server.js';
 import {type LoadPlanBounds} from './load-plan.js';
-import {partitionPoint} from './partition-point.js';
+import {keysIn, ratedKeysOf, totalRate} from './rated-keys.js';
 import {runKeyOf} from './server-run.js';
 import {timelyRates} from './timely-rate.js';
 
@@ -39,7 +34,7 @@
 		return [];
 	}
 
-	const keys = [...traffic.rates].sort(([a], [b]) => a - b);
+	const keys = ratedKeysOf(traffic);
 	const takers = new Map(
 		servers
 			.filter(({coldMs}) => coldMs === 0)
@@ -52,7 +47,11 @@
 	const moves: KeyMove[] = [];
 	let keysLeft = maxMovedKeys;
 	const candidates = ranges
-		.map((range, index) => ({range, index, rate: rateOf(range, keys)}))
+		.map((range, index) => ({
+			range,
+			index,
+			rate: totalRate(keysIn(range, keys)),
+		}))
 		.filter(({range}) => lenOf(range) <= maxLen)
 		.sort((a, b) => a.rate - b.rate || lenOf(a.range) - lenOf(b.range));
 	for (const {range, index, rate} of candidates) {
@@ -82,24 +81,3 @@
 
 	return moves;
 }
-
-function rateOf(
-	{from, to}: KeyRange,
-	keys: ReadonlyArray<readonly [number, number]>,
-): number {
-	let sum = 0;
-	const first = partitionPoint(keys, ([key]) => key < from);
-	for (
-		let index = first;
-		index < keys.length && keys[index][0] <= to;
-		index++
-	) {
-		sum += keys[index][1];
-	}
-
-	return sum;
-}
-
-function lenOf({from, to}: Pick<KeyRange, 'from' | 'to'>): number {
-	return to - from + 1;
-}
--- a/packages/daemon/src/gateway/gateway-exchange.ts
+++ b/packages/daemon/src/gateway/gateway-exchange.ts
@@ -5,8 +5,6 @@
  */
 import {
 	BufferLease,
-	drawService,
-	headerFault,
 	takesRequest,
 	type AttemptEnd,
 	type ListedServer,
@@ -14,13 +12,13 @@
 } from '@kingcuproute/core';
 import {requestFields} from '@kingcuproute/platform';
 import {RequestBody} from '../requests/request-body.js';
-import {accessOf} from './caller-access.js';
 import {
 	closeIfStopping,
 	untilCloseIsRead,
 	type CallerExchange,
 } from './caller-exchange.js';
 import {type ExchangeContext} from './exchange-context.js';
+import {findRoute} from './found-route.js';
 import {
 	endAfterFailure,
 	endToReport,
@@ -38,13 +36,10 @@
 import {holdLen, GatewayAttempt} from './gateway-attempt.js';
 import {SuspectRequest} from './suspect-request.js';
 
-/** Time allowed for a request whose caller sets none. */
-const defaultAllowedMs: Millis = 5000;
 /** Reserved for returning the answer to the caller before its time is over. */
 const replyMarginMs: Millis = 10;
 /** Share of the allowed time that a request may wait while its key moves to another server. */
 const ownerWaitShare = 0.3;
-const configRetryMs: Millis = 500;
 const ownerPollMs: Millis = 25;
 
 export class GatewayExchange {
@@ -143,68 +138,28 @@
 	}
 
 	async #route(id: string, arrivedAt: Millis): Promise<RequestEnd | undefined> {
-		const {view, random} = this.context;
-		const {routes, servers} = view.view.value;
-		if (!routes || !servers || !view.isComplete) {
-			return {
-				reason: 'no-config',
-				notRun: true,
-				retryAfterMs: configRetryMs,
-			};
-		}
-
-		const {rawHeaders, httpVersion, headers, url = '/'} = this.caller.req;
-		if (headerFault(rawHeaders, httpVersion) !== undefined || id === '') {
-			return {reason: 'bad-request', notRun: true};
-		}
-
-		const rule = routes.rule(headers.host ?? '', url);
-		if (!rule) {
-			return {reason: 'no-route', notRun: true};
-		}
-
-		const allowed = accessOf(this.context, routes, rule, this.caller.req);
-		if (allowed.isLeft()) {
-			return allowed.extract();
-		}
-
-		const access = allowed.unsafeCoerce();
-		const service = routes.service(drawService(rule, random) ?? '');
-		if (!service) {
-			return {
-				reason: 'no-service',
-				notRun: true,
-				retryAfterMs: configRetryMs,
-			};
-		}
-
-		const {bodyLen} = routes.config.limits;
-		if (Number(headers['content-length'] ?? 0) > bodyLen) {
-			return {reason: 'too-large', notRun: true};
-		}
-
-		const allowedMs = Number(
-			this.#header(requestFields.allowedMs) ?? defaultAllowedMs,
-		);
-		if (!(allowedMs > 0)) {
-			return {reason: 'bad-request', notRun: true};
+		const {req, turn} = this.caller;
+		const found = findRoute(this.context, req, id);
+		if (found.isLeft()) {
+			return found.extract();
 		}
 
+		const {rule, service, access, allowedMs, maxBodyLen, version} =
+			found.unsafeCoerce();
 		const until =
 			arrivedAt + Math.min(allowedMs, rule.timeoutMs) - replyMarginMs;
 		this.#until = until;
-		const body = await this.#readBody(bodyLen);
+		const body = await this.#readBody(maxBodyLen);
 		if (!body) {
 			return undefined;
 		}
 
 		await untilCloseIsRead();
-		if (!(await this.caller.turn.whenMayStart(rule.repeatability))) {
+		if (!(await turn.whenMayStart(rule.repeatability))) {
 			return undefined;
 		}
 
 		const key = service.keyed ? this.#readKey() : undefined;
-		const {version} = routes.config;
 		this.#request = {
 			id,
 			rule,
@@ -213,7 +168,7 @@
 			priority: access.priority,
 			key,
 			body,
-			bodyLen: Number(headers['content-length'] ?? body.first.length),
+			bodyLen: Number(req.headers['content-length'] ?? body.first.length),
 			arrivedAt,
 			allowedMs,
 			until,
--- a/packages/daemon/src/gateway/key-planner.ts
+++ b/packages/daemon/src/gateway/key-planner.ts
@@ -164,8 +164,8 @@
 			...bounds,
 			isOverloadOnly: true,
 		});
-		const isEnough = bounds.isOverloadOnly ?? false;
-		if (isEnough || urgent.length > 0) {
+		const {isOverloadOnly = false} = bounds;
+		if (isOverloadOnly || urgent.length > 0) {
 			return urgent;
 		}
 
