--- a/packages/daemon/src/gateway/keeper-lease.ts
+++ b/packages/daemon/src/gateway/keeper-lease.ts
@@ -8,6 +8,7 @@
 	keepersKind,
 	parseKeeper,
 	errorText,
+	heldRevision,
 	type ObjectStore,
 	type StoredObject,
 } from '@kingcuproute/platform';
@@ -128,6 +129,8 @@
 				this.context.log.warn('beat-failed', {
 					service: this.service,
 					error: errorText(error),
+					knownRevision: this.#object?.revision,
+					heldRevision: heldRevision(error),
 				});
 				if (error.kind === 'conflict') {
 					this.update(error.held);
--- a/packages/daemon/src/gateway/kept-table.ts
+++ b/packages/daemon/src/gateway/kept-table.ts
@@ -8,6 +8,7 @@
 	rangeTablesKind,
 	rangeTableSpec,
 	errorText,
+	heldRevision,
 	type ObjectStore,
 	type StoredObject,
 } from '@kingcuproute/platform';
@@ -38,6 +39,11 @@
 		return this.#table;
 	}
 
+	/** The revision of the object that was last read or written; undefined if there is none. */
+	get revision(): number | undefined {
+		return this.#object?.revision;
+	}
+
 	get isWriting(): boolean {
 		return this.#isWriting;
 	}
@@ -81,7 +87,12 @@
 		return fold(
 			written,
 			(error) => {
-				log.warn('table-not-written', {service, error: errorText(error)});
+				log.warn('table-not-written', {
+					service,
+					error: errorText(error),
+					knownRevision: this.#object?.revision,
+					heldRevision: heldRevision(error),
+				});
 				if (error.kind === 'conflict') {
 					this.update(error.held);
 				} else if (error.kind === 'missing') {
--- a/packages/daemon/src/gateway/key-keeper.ts
+++ b/packages/daemon/src/gateway/key-keeper.ts
@@ -114,6 +114,7 @@
 		const {log, service, lease} = this.context;
 		const {tenure} = lease;
 		const {ranges} = this.#table.value;
+		const readRevision = this.#table.revision;
 		const table = withNewFences(this.#table.value);
 		const written = await this.#table.write(table);
 		if (!written || !lease.isHeld || lease.tenure !== tenure) {
@@ -126,6 +127,8 @@
 			service,
 			ranges: table.ranges.length,
 			nextFence: table.nextFence,
+			readRevision,
+			revision: this.#table.revision,
 		});
 	}
 
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -56,7 +56,7 @@
 	parseCrashReport,
 } from './crash-report-document.js';
 export {parseListedServer, serversKind} from './listed-servers.js';
-export {errorText, type ObjectError} from './object-error.js';
+export {errorText, heldRevision, type ObjectError} from './object-error.js';
 export {
 	ObjectStore,
 	type ObjectChange,
--- a/packages/platform/src/object-error.ts
+++ b/packages/platform/src/object-error.ts
@@ -18,3 +18,8 @@
 export function errorText(error: ObjectError): string {
 	return 'message' in error ? error.message : error.kind;
 }
+
+/** The revision of the object that a conditional write met; undefined if it met none. */
+export function heldRevision(error: ObjectError): number | undefined {
+	return error.kind === 'conflict' ? error.held?.revision : undefined;
+}
