Order the store's revisions over its eras

What callers saw: after the store came back from a copy, no daemon that ran before could write to it, so that no key was served any more; and a configuration written soon after it was not in force until the next change.

Cause: each daemon compares the numbers of revisions, and takes a lower one for outdated. A restored store goes back and gives its numbers out again for other changes, so that known numbers were above all that it said (beat-failed knownRevision=140 heldRevision=136 for good), or stood for something else in it (a poll of config went on from 136 without the changes before it). Nothing read Store-Era.

Change: HttpObjectStore puts the era of each answer before its revisions (era * 2^40 + number), so that every comparison of two revisions, here and in what watchers hand on, also compares their eras. It sends no revision of a former era: such a watch is expired, and such a write a conflict, also if the store has carried it out by the number. An answer of a former era, of none or of an invalid one is an error. A later era ends the polls that are in progress.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -321,6 +321,16 @@
 	type MeanRunTime,
 	type ServiceRunTimes,
 } from './gateway/report-board.js';
+export {
+	eraOf,
+	firstEra,
+	firstFenceOf,
+	maxEra,
+	numberOf,
+	revisionIn,
+	revisionText,
+	type StoreEra,
+} from './gateway/store-era.js';
 export {KindPosition} from './gateway/kind-position.js';
 export {PeerStanding, type PeerFault} from './gateway/peer-standing.js';
 export {RetryAllowance, type RetryBounds} from './gateway/retry-allowance.js';
--- a/packages/daemon/src/gateway/fleet-traffic.ts
+++ b/packages/daemon/src/gateway/fleet-traffic.ts
@@ -4,6 +4,7 @@
  */
 import {
 	fold,
+	revisionText,
 	totalTraffic,
 	type Clock,
 	type KeyTraffic,
@@ -104,7 +105,7 @@
 			([{path, message}]): ReadonlyMap<string, KeyTraffic> => {
 				this.context.log.warn('traffic-unreadable', {
 					name,
-					revision,
+					revision: revisionText(revision),
 					path,
 					message,
 				});
--- a/packages/daemon/src/gateway/kind-follower.ts
+++ b/packages/daemon/src/gateway/kind-follower.ts
@@ -6,6 +6,7 @@
  */
 import {
 	fold,
+	revisionText,
 	type CheckPace,
 	type Clock,
 	type Millis,
@@ -351,12 +352,13 @@
 
 		this.#isUp = isUp;
 		const {kind} = this;
+		const revision = revisionText(this.#revision);
 		if (error === undefined) {
-			this.context.log.info('store-heard', {kind, revision: this.#revision});
+			this.context.log.info('store-heard', {kind, revision});
 		} else {
 			this.context.log.warn('store-lost', {
 				kind,
-				revision: this.#revision,
+				revision,
 				error,
 			});
 		}
--- a/packages/daemon/src/gateway/object-reader.ts
+++ b/packages/daemon/src/gateway/object-reader.ts
@@ -1,5 +1,10 @@
 /** Parses objects of the platform's store, each once, and logs and counts what can't be read. */
-import {fold, type Fault, type Validated} from '@kingcuproute/core';
+import {
+	fold,
+	revisionText,
+	type Fault,
+	type Validated,
+} from '@kingcuproute/core';
 import {type StoredObject} from '@kingcuproute/platform';
 import {type Log} from '../log/log.js';
 import {type GatewayMetrics} from './gateway-metrics.js';
@@ -56,7 +61,12 @@
 			this.#unreadable.set(object, revision);
 			const [{path, message}] = faults;
 			this.metrics.unreadable(kind, 1);
-			this.log.warn('object-unreadable', {object, revision, path, message});
+			this.log.warn('object-unreadable', {
+				object,
+				revision: revisionText(revision),
+				path,
+				message,
+			});
 		}
 	}
 
@@ -77,6 +87,11 @@
 			.join('; ');
 		const count = faults.length;
 		this.metrics.unreadable(kind, count);
-		this.log.warn('config-partly-unreadable', {object, revision, count, parts});
+		this.log.warn('config-partly-unreadable', {
+			object,
+			revision: revisionText(revision),
+			count,
+			parts,
+		});
 	}
 }
--- a/packages/daemon/src/gateway/observed-store.ts
+++ b/packages/daemon/src/gateway/observed-store.ts
@@ -16,6 +16,10 @@
 		super();
 	}
 
+	override get era() {
+		return this.store.era;
+	}
+
 	override async list(kind: string, stale = false) {
 		this.metrics.storeCalled(kind, stale ? 'list-stale' : 'list');
 		return this.contact.observe(this.store.list(kind, stale));
--- a/packages/daemon/src/gateway/relayed-store.ts
+++ b/packages/daemon/src/gateway/relayed-store.ts
@@ -66,6 +66,10 @@
 		super();
 	}
 
+	override get era() {
+		return this.context.store.era;
+	}
+
 	/** Whether this daemon reads from peers at present, so that it has nothing to relay. */
 	get isRelayed(): boolean {
 		return this.#peers?.isUsable ?? false;
--- a/packages/daemon/src/gateway/view-task.ts
+++ b/packages/daemon/src/gateway/view-task.ts
@@ -5,6 +5,7 @@
 	FleetSize,
 	fold,
 	LapseHold,
+	revisionText,
 	RouteTable,
 	serversByService,
 	type Clock,
@@ -286,7 +287,7 @@
 				this.#reader.logReplacedParts(configKind, object, faults);
 
 				const {version, rules} = config;
-				const {revision} = object;
+				const revision = revisionText(object.revision);
 				this.log.info('config-in-force', {
 					version,
 					revision,
--- a/packages/fakes/src/platform/stand-in-store.ts
+++ b/packages/fakes/src/platform/stand-in-store.ts
@@ -1,10 +1,11 @@
-/** A small stand-in for the platform's store with its published protocol: objects, pages, conditional writes, long polls. */
+/** A small stand-in for the platform's store with its published protocol: objects, pages, conditional writes, long polls, restores from a copy. */
 import {
 	createServer,
 	type IncomingMessage,
 	type ServerResponse,
 } from 'node:http';
 import {type AddressInfo} from 'node:net';
+import {isDeepStrictEqual} from 'node:util';
 
 type ObjectDocument = {
 	metadata: {name: string; rev: number};
@@ -26,6 +27,21 @@
 	readonly object: StoredText;
 };
 
+/** The store's content at one moment. */
+export type StoreCopy = {
+	readonly rev: number;
+	readonly kinds: ReadonlyMap<string, ReadonlyMap<string, StoredText>>;
+	readonly changes: readonly Change[];
+};
+
+/** An object that an operator or a backend server has written. */
+type ForeignObject = {
+	readonly kind: string;
+	readonly name: string;
+	readonly spec: unknown;
+	readonly status: unknown;
+};
+
 const prefix = '/kingcuproute/objects/';
 
 export class StandInStore {
@@ -37,9 +53,14 @@
 	readonly failures = new Map<string, number>();
 	/** A watch from a revision before this one is answered with 410. */
 	forgottenTo = 0;
-	readonly #kinds = new Map<string, Map<string, StoredText>>();
-	readonly #changes: Change[] = [];
+	/** Sent with each answer; undefined in a store that names no eras. */
+	era: number | undefined;
+	#kinds = new Map<string, Map<string, StoredText>>();
+	#changes: Change[] = [];
+	/** As operators and backend servers wrote them last. */
+	readonly #foreign = new Map<string, ForeignObject>();
 	readonly #waiting = new Set<() => void>();
+	#isAway = false;
 	#rev = 1;
 	readonly #server = createServer((req, res) => {
 		void this.#answer(req, res);
@@ -58,10 +79,59 @@
 		this.#server.close();
 	}
 
+	/** Writes an object as operators and backend servers do. */
 	put(kind: string, name: string, spec: unknown, status?: unknown): void {
-		this.putText(kind, name, (rev) =>
-			JSON.stringify({metadata: {name, rev}, spec, status}),
+		this.#foreign.set(`${kind}/${name}`, {kind, name, spec, status});
+		this.#set(kind, name, spec, status);
+	}
+
+	/** The present content, for `restore`. */
+	copy(): StoreCopy {
+		return {
+			rev: this.#rev,
+			kinds: new Map(
+				[...this.#kinds].map(([kind, map]) => [kind, new Map(map)]),
+			),
+			changes: [...this.#changes],
+		};
+	}
+
+	/** Ends all calls, and answers none until `restore` or `comeBack`. */
+	goAway(): void {
+		this.#isAway = true;
+		this.#server.closeAllConnections();
+	}
+
+	comeBack(): void {
+		this.#isAway = false;
+	}
+
+	/** Comes back with the content of a copy, in the next era; operators and backend servers write again what they wrote since. */
+	restore({rev, kinds, changes}: StoreCopy): void {
+		this.#rev = rev;
+		this.#kinds = new Map(
+			[...kinds].map(([kind, map]) => [kind, new Map(map)]),
 		);
+		this.#changes = [...changes];
+		this.#waiting.clear();
+		this.era = (this.era ?? 0) + 1;
+		this.#isAway = false;
+		for (const {kind, name, spec, status} of this.#foreign.values()) {
+			const {text} = this.#kinds.get(kind)?.get(name) ?? {};
+			const held = text && (JSON.parse(text) as ObjectDocument);
+			if (
+				!held ||
+				!isDeepStrictEqual([held.spec, held.status], [spec, status])
+			) {
+				this.#set(kind, name, spec, status);
+			}
+		}
+	}
+
+	/** An object as the store holds it. */
+	specOf(kind: string, name: string): unknown {
+		const {text} = this.#kinds.get(kind)?.get(name) ?? {};
+		return text && (JSON.parse(text) as ObjectDocument).spec;
 	}
 
 	/** Stores the text that `textOf` returns for the new revision unchecked, as another writer may store anything. */
@@ -86,6 +156,7 @@
 	}
 
 	remove(kind: string, name: string): boolean {
+		this.#foreign.delete(`${kind}/${name}`);
 		const object = this.#kinds.get(kind)?.get(name);
 		if (!object) {
 			return false;
@@ -97,6 +168,12 @@
 		return true;
 	}
 
+	#set(kind: string, name: string, spec: unknown, status?: unknown): void {
+		this.putText(kind, name, (rev) =>
+			JSON.stringify({metadata: {name, rev}, spec, status}),
+		);
+	}
+
 	#addChange(change: Change): void {
 		this.#changes.push(change);
 		for (const notify of this.#waiting) {
@@ -113,12 +190,24 @@
 		const parts = await req.toArray();
 		const text = parts.join('');
 		const body = text === '' ? undefined : (JSON.parse(text) as ObjectDocument);
+		if (this.#isAway) {
+			req.socket.destroy();
+			return;
+		}
+
+		if (this.era !== undefined) {
+			res.setHeader('store-era', this.era);
+		}
+
 		if (this.failing !== undefined) {
 			send(res, this.failing, 'failing');
 		} else if (this.#takeFailure(kind)) {
 			send(res, 503, 'failing');
 		} else if (req.method === 'GET' && searchParams.has('watch')) {
 			this.#watch(kind, searchParams, res);
+		} else if (req.method === 'GET' && name !== undefined) {
+			const object = this.#kinds.get(kind)?.get(name);
+			sendText(res, object ? 200 : 404, object?.text ?? '{}');
 		} else if (req.method === 'GET') {
 			this.#list(kind, searchParams.get('after') ?? '', res);
 		} else {
@@ -145,7 +234,7 @@
 
 	#watch(kind: string, query: URLSearchParams, res: ServerResponse): void {
 		const since = Number(query.get('watch'));
-		if (since < this.forgottenTo) {
+		if (since < this.forgottenTo || since > this.#rev) {
 			send(res, 410, 'gone');
 			return;
 		}
@@ -212,7 +301,7 @@
 			return;
 		}
 
-		this.put(kind, name, body?.spec);
+		this.#set(kind, name, body?.spec);
 		sendText(res, 200, this.#kinds.get(kind)!.get(name)!.text);
 	}
 }
--- a/packages/fakes/test/gateway-fleet.ts
+++ b/packages/fakes/test/gateway-fleet.ts
@@ -116,11 +116,12 @@
 	service = 'plain';
 	readonly #folder = mkdtempSync(path.join(tmpdir(), 'fleet-'));
 	#server: Server | undefined;
+	#storeAddress = '';
 	#version = 1;
 
 	/** Starts daemons in these failure domains; the first of a domain has the highest capacity. */
 	async start(domains: readonly string[]): Promise<void> {
-		const store = await this.store.start();
+		this.#storeAddress = await this.store.start();
 		this.#server = createServer((req, res) => {
 			if (req.url!.startsWith('/kingcuproute/')) {
 				res.writeHead(200, {'x-kingcuproute-handover': 'h'});
@@ -143,13 +144,17 @@
 			{state: 'ready', seq: 1, coldLeftMs: 0},
 		);
 		this.store.put('config', 'main', this.config);
-		for (const [index, domain] of domains.entries()) {
-			const vm = `front-${domain}-${index}`;
-			const capacity = 1 / (index + 1);
-			this.daemons.push(new FleetDaemon(vm, domain, capacity, this.#folder));
-		}
+		await Promise.all(domains.map(async (domain) => this.addDaemon(domain)));
+	}
 
-		await Promise.all(this.daemons.map(async (daemon) => daemon.start(store)));
+	/** Starts one more daemon; its capacity is below that of those before it. */
+	async addDaemon(domain: string): Promise<FleetDaemon> {
+		const index = this.daemons.length;
+		const vm = `front-${domain}-${index}`;
+		const daemon = new FleetDaemon(vm, domain, 1 / (index + 1), this.#folder);
+		this.daemons.push(daemon);
+		await daemon.start(this.#storeAddress);
+		return daemon;
 	}
 
 	/** Adds a route; returns a path of it. */
--- /dev/null
+++ b/packages/fakes/test/gateway-restore.test.ts
@@ -0,0 +1,127 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import test, {type ExecutionContext} from 'ava';
+import {createFleet, type Fleet, type FleetDaemon} from './gateway-fleet.js';
+import {siteConfig} from './gateway-site.js';
+import {KeyServers, sampleKeys} from './key-servers.js';
+import {until} from './requests-fixture.js';
+
+const service = 'keyed';
+/** Within which keys are served again after the store is back. */
+const recoverMs = 15_000;
+/** Within which a configuration is in force. */
+const configMs = 2000;
+const awayMs = 1000;
+/** From the copy to what is lost with it. */
+const copyAgeMs = 1000;
+/** After which renewals of all keys have been sent again, and leases by any other keeper have ended. */
+const settledMs = 8000;
+
+type Drill = {
+	readonly fleet: Fleet;
+	readonly servers: KeyServers;
+};
+
+async function startDrill(
+	t: ExecutionContext,
+	domains: readonly string[] = ['a', 'b', 'c'],
+): Promise<Drill> {
+	const fleet = createFleet(t);
+	fleet.config = siteConfig;
+	fleet.store.era = 1;
+	fleet.store.pageLen = 500;
+	const servers = new KeyServers(service, fleet.store);
+	t.teardown(() => {
+		servers.stop();
+	});
+	await Promise.all(
+		['k-1', 'k-2', 'k-3'].map(async (name) => servers.add(name)),
+	);
+	await fleet.start(domains);
+	await until(async () => servers.isAllHeld());
+	return {fleet, servers};
+}
+
+/** Lets a server join after a copy of the store, and then the store go away; the copy is returned. */
+async function joinAfterCopy({fleet, servers}: Drill, name: string) {
+	const copy = fleet.store.copy();
+	await sleep(copyAgeMs);
+	await servers.add(name);
+	await until(async () => servers.isAllHeld(name));
+	await sleep(copyAgeMs);
+	fleet.store.goAway();
+	await sleep(awayMs);
+	return copy;
+}
+
+async function isServed(daemon: FleetDaemon, key: number): Promise<boolean> {
+	const status = await daemon.statusOf('/clock/', {
+		'x-kingcuproute-shard-key': String(key),
+		'x-kingcuproute-deadline-ms': '1000',
+	});
+	return status === 200;
+}
+
+/** Checks that all keys are served at each of the daemons within `recoverMs` of `from`, and then stay served, by one server each. */
+async function checkRecovery(
+	t: ExecutionContext,
+	{servers}: Drill,
+	daemons: readonly FleetDaemon[],
+	from: number,
+): Promise<void> {
+	await Promise.all(
+		daemons.map(async (daemon) => {
+			for (const key of sampleKeys) {
+				while (
+					!(await isServed(daemon, key)) &&
+					performance.now() - from < recoverMs
+				) {
+					await sleep(50);
+				}
+			}
+		}),
+	);
+	const tookMs = Math.round(performance.now() - from);
+	t.true(tookMs < recoverMs, `keys are unserved after ${tookMs} ms`);
+	t.log(`served again after ${tookMs} ms`);
+	await sleep(settledMs);
+	t.true(servers.isAllHeld());
+	t.deepEqual(servers.violations, []);
+}
+
+// No daemon could write to the restored store, and all keys stayed unserved for good.
+test('keys are served again after the store is restored from a copy', async (t) => {
+	const drill = await startDrill(t);
+	const copy = await joinAfterCopy(drill, 'k-4');
+	drill.fleet.store.restore(copy);
+	await checkRecovery(t, drill, drill.fleet.daemons, performance.now());
+});
+
+// Daemons went on from a revision that the restored store gave out again, and heard of no change before it.
+test('a configuration that is written to a restored store is in force in time, also through a watcher', async (t) => {
+	const {fleet} = await startDrill(t, ['a', 'a', 'a', 'a']);
+	const {store, daemons} = fleet;
+	const untilServed = async (target: string) => {
+		for (const daemon of daemons) {
+			await until(async () => (await daemon.statusOf(target)) === 200);
+		}
+	};
+
+	const copy = store.copy();
+	for (let count = 0; count < 20; count++) {
+		store.put('evacuations', 'z', {count});
+	}
+
+	await untilServed(fleet.addRoute());
+	store.goAway();
+	await sleep(awayMs);
+	store.restore(copy);
+	const target = fleet.addRoute();
+	for (let count = 0; count < 40; count++) {
+		store.put('evacuations', 'z', {count});
+	}
+
+	const writtenAt = performance.now();
+	await untilServed(target);
+	const tookMs = Math.round(performance.now() - writtenAt);
+	t.true(tookMs < configMs, `${tookMs}`);
+});
--- a/packages/fakes/test/object-store.test.ts
+++ b/packages/fakes/test/object-store.test.ts
@@ -1,5 +1,7 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import {HttpObjectStore, SystemClock} from '@kingcuproute/platform';
+import {Left, Right} from 'purify-ts';
 import {StandInStore} from '../src/platform/stand-in-store.js';
 
 async function startStore(t: ExecutionContext) {
@@ -164,3 +166,80 @@
 function kindOf(error: unknown): string | undefined {
 	return (error as {kind?: string} | undefined)?.kind;
 }
+
+// The daemon took what a restored store gave out again for what it knew already.
+test('a revision of a former era is expired for a watch, and in conflict for a write', async (t) => {
+	const {standIn, store} = await startStore(t);
+	standIn.era = 1;
+	standIn.put('k', 'n', 1);
+	const copy = standIn.copy();
+	standIn.put('k', 'n', 2);
+	const listed = await store.list('k');
+	const {revision} = listed.unsafeCoerce();
+	standIn.restore(copy);
+	standIn.put('k', 'other', 3);
+	const relisted = await store.list('k');
+	t.true(relisted.unsafeCoerce().revision > revision);
+	t.deepEqual(await store.watch('k', revision, 0), Left({kind: 'expired'}));
+	const written = await store.write({kind: 'k', name: 'n', revision, spec: 4});
+	written.ifLeft((error) => {
+		t.is(error.kind, 'conflict');
+		t.is(error.kind === 'conflict' ? error.held?.spec : undefined, 2);
+	});
+	t.true(written.isLeft());
+	const gone = await store.write({kind: 'k', name: 'x', revision, spec: 4});
+	t.deepEqual(gone, Left({kind: 'missing'}));
+});
+
+// The number of the known revision may stand for another object in the restored store.
+test('a write that a restored store has carried out by the number of a former revision is a conflict', async (t) => {
+	const {standIn, store} = await startStore(t);
+	standIn.era = 1;
+	const created = await store.write({
+		kind: 'k',
+		name: 'n',
+		revision: undefined,
+		spec: 1,
+	});
+	const {revision} = created.unsafeCoerce();
+	standIn.restore(standIn.copy());
+	const written = await store.write({kind: 'k', name: 'n', revision, spec: 2});
+	written.ifLeft((error) => {
+		t.is(error.kind, 'conflict');
+		t.is(error.kind === 'conflict' ? error.held?.spec : undefined, 2);
+	});
+	t.true(written.isLeft());
+});
+
+test('an answer of a former era, of none or of an invalid one is an error', async (t) => {
+	const {standIn, store} = await startStore(t);
+	standIn.put('k', 'n', 1);
+	standIn.era = 2;
+	const first = await store.list('k');
+	t.true(first.isRight());
+	for (const era of [1, undefined, 2.5, -3, 1e9]) {
+		standIn.era = era;
+		const listed = await store.list('k');
+		const kind = listed.swap().map((error) => error.kind);
+		t.deepEqual(kind, Right('unknown'), `${era}`);
+	}
+
+	t.is(store.era.number, 2);
+	standIn.era = 2;
+	const last = await store.list('k');
+	t.true(last.isRight());
+});
+
+// A poll that hangs in a restored store would hear of nothing until its wait is over.
+test('long polls end once any answer names a later era', async (t) => {
+	const {standIn, store} = await startStore(t);
+	standIn.era = 1;
+	const listed = await store.list('k');
+	const watching = store.watch('k', listed.unsafeCoerce().revision, 10_000);
+	await sleep(100);
+	const sentAt = performance.now();
+	standIn.era = 2;
+	await store.list('other');
+	t.deepEqual(await watching, Left({kind: 'expired'}));
+	t.true(performance.now() - sentAt < 5000);
+});
--- a/packages/platform/src/http-object-store.ts
+++ b/packages/platform/src/http-object-store.ts
@@ -1,5 +1,16 @@
-/** The platform's store over HTTP/1.1. It never retries a call, because only the caller knows whether that is safe. */
-import {type Clock, type Millis} from '@kingcuproute/core';
+/**
+ * The platform's store over HTTP/1.1. It never retries a call, because only the caller knows
+ * whether that is safe. The store compares the numbers of revisions alone, which it gives out
+ * again after it has been restored from a copy; here each has its era, so that no call goes on
+ * from a revision of a former era.
+ */
+import {
+	eraOf,
+	numberOf,
+	type Clock,
+	type Millis,
+	type StoreEra,
+} from '@kingcuproute/core';
 import {Either, Left, Right} from 'purify-ts';
 import {type Agent, request} from 'undici';
 import {boundedAgent} from './bounded-connections.js';
@@ -9,6 +20,7 @@
 	parseChanges,
 	parseObject,
 	parsePage,
+	type Page,
 } from './object-bodies.js';
 import {type ObjectError} from './object-error.js';
 import {
@@ -18,6 +30,7 @@
 	type ObjectWrite,
 	type StoredObject,
 } from './object-store.js';
+import {eraField, StoreEras} from './store-eras.js';
 
 /** Several hundred times the store's usual latency of 4 ms; a slow store takes a few hundred ms. */
 const callTimeoutMs: Millis = 1500;
@@ -30,6 +43,8 @@
 /** Eight times the longest page, since the changes that a watch returns are not divided into pages. */
 const maxAnswerLen = 8_388_608;
 const maxMessageLen = 200;
+/** With these the store has done nothing. */
+const refusals: ReadonlySet<number> = new Set([400, 429, 503]);
 const staleQuery: Readonly<Record<string, string>> = {staleOk: '1'};
 
 type Call = {
@@ -39,12 +54,21 @@
 	readonly timeoutMs?: Millis;
 	/** Whether the store may wait before it answers. */
 	readonly isPoll?: boolean;
+	/** The era of the revision from which the call goes on, if it does. */
+	readonly era?: number;
+};
+
+type Answer = {
+	readonly status: number;
+	readonly text: string;
+	readonly era: number;
 };
 
 export class HttpObjectStore extends ObjectStore {
 	/** Long polls have connections of their own, so that no short call proves itself on one of theirs, or takes it. */
 	#polls: Agent;
 	#calls: Agent;
+	readonly #eras: StoreEras;
 
 	/** `address` is the store's host and port. */
 	constructor(
@@ -54,6 +78,13 @@
 		super();
 		this.#polls = openAgent();
 		this.#calls = openAgent();
+		this.#eras = new StoreEras(clock, () => {
+			this.#endPolls(new Error('the store has entered a later era'));
+		});
+	}
+
+	override get era(): StoreEra {
+		return this.#eras.newest;
 	}
 
 	override async list(
@@ -63,7 +94,7 @@
 		const objects: StoredObject[] = [];
 		const unreadable = new Set<string>();
 		const cursors = new Set<string>();
-		let revision: number | undefined;
+		let first: Page | undefined;
 		let path = pathOf(kind, undefined, stale ? staleQuery : {});
 		while (cursors.size < maxPages) {
 			const page = await this.#call({method: 'GET', path}, parsePage);
@@ -71,9 +102,16 @@
 				return Left(page.extract());
 			}
 
-			const {items, more, storeRevision} = page.unsafeCoerce();
+			const {items, more, era} = page.unsafeCoerce();
+			// A watch from the first page's revision reports changes made between two pages.
+			first ??= page.unsafeCoerce();
+			if (era !== first.era) {
+				const message = `GET ${path}: a later era than the first page's`;
+				return Left({kind: 'unknown', message});
+			}
+
 			for (const item of items) {
-				const object = parseObject(item);
+				const object = parseObject(item, era);
 				if (object) {
 					objects.push(object);
 				} else {
@@ -81,10 +119,12 @@
 				}
 			}
 
-			// A watch from the first page's revision reports changes made between two pages.
-			revision ??= storeRevision;
 			if (!more || items.length === 0) {
-				return Right({revision, objects, unreadable: [...unreadable]});
+				return Right({
+					revision: first.revision,
+					objects,
+					unreadable: [...unreadable],
+				});
 			}
 
 			const after = items.map((item) => nameOf(item)).findLast(Boolean);
@@ -106,8 +146,13 @@
 		waitMs: Millis,
 		stale = false,
 	): Promise<Either<ObjectError, ObjectChanges>> {
+		const era = eraOf(revision);
+		if (era < this.era.number) {
+			return Left({kind: 'expired'});
+		}
+
 		const query = {
-			watch: String(revision),
+			watch: String(numberOf(revision)),
 			waitMs: String(waitMs),
 			...(stale && staleQuery),
 		};
@@ -116,8 +161,10 @@
 			path: pathOf(kind, undefined, query),
 			timeoutMs: waitMs + watchSlackMs,
 			isPoll: waitMs > 0,
+			era,
 		};
-		return this.#call(call, parseChanges);
+		const changes = await this.#call(call, parseChanges);
+		return era < this.era.number ? Left({kind: 'expired'}) : changes;
 	}
 
 	override async write({
@@ -126,6 +173,11 @@
 		revision,
 		spec,
 	}: ObjectWrite): Promise<Either<ObjectError, StoredObject>> {
+		const era = revision === undefined ? undefined : eraOf(revision);
+		if (era !== undefined && era < this.era.number) {
+			return this.#conflictOf(kind, name);
+		}
+
 		const call: Call =
 			revision === undefined
 				? {
@@ -136,16 +188,14 @@
 				: {
 						method: 'PUT',
 						path: pathOf(kind, name),
-						body: {metadata: {name, rev: revision}, spec},
+						body: {metadata: {name, rev: numberOf(revision)}, spec},
 					};
-		return this.#call(call, (body) => {
-			const object = parseObject(body);
-			if (!object) {
-				throw new TypeError('the answer holds no object');
-			}
-
-			return object;
-		});
+		const written = await this.#call(call, parseWritten);
+		return written.chain((object) =>
+			era !== undefined && era < eraOf(object.revision)
+				? Left({kind: 'conflict', held: object})
+				: Right(object),
+		);
 	}
 
 	override async remove(
@@ -163,22 +213,38 @@
 		await Promise.all([this.#polls.destroy(), this.#calls.destroy()]);
 	}
 
+	/** The failure of a write on a condition that no object can meet any more. */
+	async #conflictOf(
+		kind: string,
+		name: string,
+	): Promise<Either<ObjectError, never>> {
+		const call: Call = {method: 'GET', path: pathOf(kind, name)};
+		const held = await this.#call(call, parseWritten);
+		return held.chain((object) => Left({kind: 'conflict', held: object}));
+	}
+
+	/** Ends the long polls in progress; later ones use new connections. */
+	#endPolls(error: Error): void {
+		const polls = this.#polls;
+		this.#polls = openAgent();
+		void polls.destroy(error);
+	}
+
 	/**
 	 * Uses new connections from now on. A short call that gets no answer shows that open
 	 * connections may have gone silent: those of long polls are closed, which ends the
 	 * polls, and short calls in progress may still be answered.
 	 */
 	#renewConnections(): void {
-		const [polls, calls] = [this.#polls, this.#calls];
-		this.#polls = openAgent();
+		const calls = this.#calls;
 		this.#calls = openAgent();
-		void polls.destroy(new Error('another call got no answer'));
+		this.#endPolls(new Error('another call got no answer'));
 		void calls.close();
 	}
 
 	async #call<T>(
 		call: Call,
-		parse: (body: unknown) => T,
+		parse: (body: unknown, era: number) => T,
 	): Promise<Either<ObjectError, T>> {
 		const {method, path, body, timeoutMs = callTimeoutMs, isPoll} = call;
 		const agent = isPoll ? this.#polls : this.#calls;
@@ -199,9 +265,11 @@
 				dispatcher: agent,
 			});
 			const text = await res.body.text();
-			return res.statusCode < 300
-				? parseAnswer(call, text, parse)
-				: Left(errorOfStatus(call, res.statusCode, text));
+			const {statusCode: status, headers} = res;
+			return this.#eras
+				.read(headers[eraField])
+				.mapLeft(({message}) => eraError(call, status, message))
+				.chain((era) => readAnswer(call, {status, text, era}, parse));
 		} catch (error) {
 			const {message} = error as Error;
 			return Left({kind: 'unknown', message: `${method} ${path}: ${message}`});
@@ -221,19 +289,40 @@
 	});
 }
 
-function parseAnswer<T>(
-	{method, path}: Call,
-	text: string,
-	parse: (body: unknown) => T,
+function readAnswer<T>(
+	call: Call,
+	answer: Answer,
+	parse: (body: unknown, era: number) => T,
 ): Either<ObjectError, T> {
+	const {method, path} = call;
+	const {status, text, era} = answer;
+	if (status >= 300) {
+		return Left(errorOfStatus(call, answer));
+	}
+
 	return Either.encase(() =>
-		parse(text === '' ? undefined : JSON.parse(text)),
+		parse(text === '' ? undefined : JSON.parse(text), era),
 	).mapLeft(({message}) => ({
 		kind: 'unreadable',
 		message: `${method} ${path}: ${message.slice(0, maxMessageLen)}`,
 	}));
 }
 
+function parseWritten(body: unknown, era: number): StoredObject {
+	const object = parseObject(body, era);
+	if (!object) {
+		throw new TypeError('the answer holds no object');
+	}
+
+	return object;
+}
+
+/** An answer that can't be placed in an era, or is of a former one. A refusal says that nothing was done whatever its era. */
+function eraError(call: Call, status: number, fault: string): ObjectError {
+	const message = `${call.method} ${call.path}: status ${status}: ${fault}`;
+	return {kind: refusals.has(status) ? 'refused' : 'unknown', message};
+}
+
 function pathOf(
 	kind: string,
 	name?: string,
@@ -247,7 +336,7 @@
 	return search === '' ? path : `${path}?${search}`;
 }
 
-function errorOfStatus(call: Call, status: number, text: string): ObjectError {
+function errorOfStatus(call: Call, {status, text, era}: Answer): ObjectError {
 	const message = `${call.method} ${call.path}: status ${status}: ${text.slice(0, maxMessageLen)}`;
 	switch (status) {
 		case 404: {
@@ -255,21 +344,16 @@
 		}
 
 		case 409: {
-			return {kind: 'conflict', held: parseObject(tryParseJson(text))};
+			return {kind: 'conflict', held: parseObject(tryParseJson(text), era)};
 		}
 
 		case 410: {
 			return {kind: 'expired'};
 		}
 
-		case 429:
-		case 503:
-		case 400: {
-			return {kind: 'refused', message};
-		}
-
 		default: {
-			return {kind: 'unknown', message};
+			const kind = refusals.has(status) ? 'refused' : 'unknown';
+			return {kind, message};
 		}
 	}
 }
--- a/packages/platform/src/object-bodies.ts
+++ b/packages/platform/src/object-bodies.ts
@@ -1,4 +1,5 @@
-/** Parses the bodies of the store's answers. */
+/** Parses the bodies of the store's answers. Each belongs to an era of the store, and so do the revisions in it. */
+import {revisionIn} from '@kingcuproute/core';
 import {z} from 'zod';
 import {
 	type ObjectChange,
@@ -30,12 +31,19 @@
 	object: z.unknown(),
 });
 
-/** One page of a list, as the store sends it. */
-export type Page = z.infer<typeof pageSchema>;
+/** One page of a list. */
+export type Page = {
+	/** As the store sends them. */
+	readonly items: readonly unknown[];
+	readonly more: boolean;
+	readonly revision: number;
+	readonly era: number;
+};
 
 /** Parses a page; throws if the body is not one. */
-export function parsePage(body: unknown): Page {
-	return pageSchema.parse(body);
+export function parsePage(body: unknown, era: number): Page {
+	const {items, more = false, storeRevision} = pageSchema.parse(body);
+	return {items, more, revision: knownRevision(era, storeRevision), era};
 }
 
 /**
@@ -43,13 +51,14 @@
  * no longer readable counts as removed. An event without a readable name is only
  * listed as unreadable.
  */
-export function parseChanges(body: unknown): ObjectChanges {
+export function parseChanges(body: unknown, era: number): ObjectChanges {
 	const {events, storeRevision} = changesSchema.parse(body);
+	const revision = knownRevision(era, storeRevision);
 	const changes: ObjectChange[] = [];
 	const unreadable: string[] = [];
 	for (const event of events) {
 		const {object, removed} = eventSchema.safeParse(event).data ?? {};
-		const held = parseObject(object);
+		const held = parseObject(object, era);
 		const name = nameOf(object);
 		if (held) {
 			changes.push({object: held, removed: removed === true});
@@ -57,14 +66,14 @@
 			unreadable.push(name ?? unknownName);
 			if (name !== undefined) {
 				changes.push({
-					object: removedObject(name, storeRevision),
+					object: removedObject(name, revision),
 					removed: true,
 				});
 			}
 		}
 	}
 
-	return {revision: storeRevision, changes, unreadable};
+	return {revision, changes, unreadable};
 }
 
 /** Stands for the name of an object whose name cannot be read. */
@@ -80,12 +89,27 @@
 }
 
 /** Parses an object; undefined if the body is not one. */
-export function parseObject(body: unknown): StoredObject | undefined {
+export function parseObject(
+	body: unknown,
+	era: number,
+): StoredObject | undefined {
 	const parsed = objectSchema.safeParse(body);
 	if (!parsed.success) {
 		return undefined;
 	}
 
 	const {metadata, spec, status, ...rest} = parsed.data;
-	return {name: metadata.name, revision: metadata.rev, spec, status, rest};
+	const revision = revisionIn(era, metadata.rev);
+	return revision === undefined
+		? undefined
+		: {name: metadata.name, revision, spec, status, rest};
+}
+
+function knownRevision(era: number, number: number): number {
+	const revision = revisionIn(era, number);
+	if (revision === undefined) {
+		throw new RangeError(`revision ${number} of era ${era} is out of range`);
+	}
+
+	return revision;
 }
--- a/packages/platform/src/object-store.ts
+++ b/packages/platform/src/object-store.ts
@@ -1,11 +1,11 @@
 /** The platform's store: objects by kind and name, conditional writes, and long polls for changes. */
-import {type Millis} from '@kingcuproute/core';
+import {type Millis, type StoreEra} from '@kingcuproute/core';
 import {type Either} from 'purify-ts';
 import {type ObjectError} from './object-error.js';
 
 export type StoredObject = {
 	readonly name: string;
-	/** The store's revision when the object was last changed. */
+	/** The store's revision when the object was last changed, as `revisionIn` orders it over eras; so are all revisions here. */
 	readonly revision: number;
 	/** Content defined by the platform; whoever uses it has to validate it. */
 	readonly spec: unknown;
@@ -52,8 +52,18 @@
 	readonly spec: unknown;
 };
 
-/** Client of the store. Every call ends within a bounded time, whatever the store does. */
+const unnamedEra: StoreEra = {number: 0, since: -Infinity};
+
+/**
+ * Client of the store. Every call ends within a bounded time, whatever the store does. No
+ * reading is from an earlier era than one before it.
+ */
 export abstract class ObjectStore {
+	/** The newest era that an answer named. */
+	get era(): StoreEra {
+		return unnamedEra;
+	}
+
 	/**
 	 * Reads all objects of a kind. With `stale`, the result may be seconds old; such a
 	 * call costs a tenth of a usual one and does not count towards the rate limits.
@@ -66,7 +76,7 @@
 	/**
 	 * Resolves with the changes after `revision` as soon as there are any, or with none
 	 * after `waitMs`. With `stale`, it may miss changes of the last seconds and costs as
-	 * little as such a list.
+	 * little as such a list. A revision of a former era is expired.
 	 */
 	abstract watch(
 		kind: string,
@@ -75,6 +85,10 @@
 		stale?: boolean,
 	): Promise<Either<ObjectError, ObjectChanges>>;
 
+	/**
+	 * Writes an object. A condition of a former era fails, even if the store, which knows only
+	 * the number of a revision, has carried the write out.
+	 */
 	abstract write(
 		write: ObjectWrite,
 	): Promise<Either<ObjectError, StoredObject>>;
