Use no fence twice, and wait for unknown grants, after the store is restored from a copy

Cause: a new keeper took the table of the copy for all there is: its next fence had been given out since, and servers that it does not name still held keys by grants that the copy lacks.

Change: each table names the era of the store in which it was written. The keeper that made the lost changes writes its own table again and waits for nothing. Other daemons keep the newer of the copy's table and the one that they have read. KeyGrants.assumeSent now counts from when former keepers had stopped, so that keys of a server lost with the store do not wait a second time.

--- a/packages/core/src/gateway/key-plan.ts
+++ b/packages/core/src/gateway/key-plan.ts
@@ -149,12 +149,12 @@
 	return {service, nextFence: fence, ranges: joined};
 }
 
-/** The same owners with new fencing tokens, all higher than any earlier one. */
-export function withNewFences({
-	service,
-	nextFence,
-	ranges,
-}: RangeTable): RangeTable {
+/** The same owners with new fencing tokens, all at least `lowest` and higher than any earlier one of the table. */
+export function withNewFences(
+	{service, nextFence: unused, ranges}: RangeTable,
+	lowest = 1,
+): RangeTable {
+	const nextFence = Math.max(unused, lowest);
 	return {
 		service,
 		nextFence: nextFence + ranges.length + 1,
--- a/packages/daemon/src/gateway/keeper-lease.ts
+++ b/packages/daemon/src/gateway/keeper-lease.ts
@@ -3,7 +3,14 @@
  * It is an object in the platform's store that its holder rewrites with every beat.
  * Another daemon takes it once it has seen no change for longer than the lease lasts.
  */
-import {fold, type Clock, type Millis} from '@kingcuproute/core';
+import {
+	eraOf,
+	fold,
+	revisionIn,
+	revisionText,
+	type Clock,
+	type Millis,
+} from '@kingcuproute/core';
 import {
 	keepersKind,
 	parseKeeper,
@@ -30,18 +37,26 @@
 	readonly log: Log;
 };
 
+type Beat = {
+	readonly beat: number;
+	/** When it was sent. */
+	readonly at: Millis;
+	/** When the lease of any former holder has ended if this beat is accepted. */
+	readonly formerLeaseEndsAt: Millis;
+};
+
 export class KeeperLease {
 	/** Whether this daemon reads the leases slowly, so that it waits longer before it takes one for expired. */
 	isUpdatedSlowly = false;
 	#object: StoredObject | undefined;
+	/** The revision as of which the object, or that there is none, is known. */
+	#asOf = 0;
 	#changedAt: Millis;
 	#expiresAt: Millis = -Infinity;
 	#tenure = 0;
-	/** The newest beat of this daemon, and when it was sent. */
-	#lastBeat: {readonly beat: number; readonly at: Millis} = {
-		beat: 0,
-		at: -Infinity,
-	};
+	#formerOrdersEndedAt: Millis = -Infinity;
+	/** The newest beat of this daemon. */
+	#lastBeat: Beat = {beat: 0, at: -Infinity, formerLeaseEndsAt: -Infinity};
 
 	#writing = false;
 	#wallOffset: Millis;
@@ -62,18 +77,32 @@
 		return this.context.clock.now() < this.#expiresAt;
 	}
 
+	/** By when every daemon that held the lease before this one had stopped sending orders. */
+	get formerOrdersEndedAt(): Millis {
+		return this.#formerOrdersEndedAt;
+	}
+
 	/** Number of times this daemon has taken the lease; between two of them another daemon may have held it. */
 	get tenure(): number {
 		return this.#tenure;
 	}
 
-	/** Applies the lease's object as read from the store, unless it is older than the known one; undefined while there is none. */
-	update(object: StoredObject | undefined): void {
-		if (!object || object.revision <= (this.#object?.revision ?? 0)) {
+	/** Applies the lease's object as read from the store at a revision, unless it is older than the known one; undefined while there is none. */
+	update(object: StoredObject | undefined, asOf = object?.revision ?? 0): void {
+		if (!object) {
+			if (eraOf(asOf) > eraOf(this.#asOf)) {
+				this.#lose(asOf);
+			}
+
+			return;
+		}
+
+		if (object.revision <= this.#asOf) {
 			return;
 		}
 
 		this.#object = object;
+		this.#asOf = object.revision;
 		this.#changedAt = this.context.clock.now();
 		const keeper = parseKeeper(object.spec).orDefault({vm: '', beat: 0});
 		if (keeper.vm !== this.vm) {
@@ -101,9 +130,20 @@
 		}
 	}
 
+	/** Records that the store has no such object. */
+	#lose(asOf: number): void {
+		this.#object = undefined;
+		this.#asOf = asOf;
+		this.#changedAt = this.context.clock.now();
+	}
+
 	#extend(until: Millis): void {
 		if (!this.isHeld) {
 			this.#tenure++;
+			this.#formerOrdersEndedAt = Math.min(
+				this.context.clock.now(),
+				this.#lastBeat.formerLeaseEndsAt,
+			);
 		}
 
 		this.#expiresAt = until;
@@ -114,7 +154,13 @@
 			this.#lastBeat.beat + 1,
 			Math.round(this.context.clock.wall()),
 		);
-		this.#lastBeat = {beat, at: this.context.clock.now()};
+		// If the beat is accepted, nobody has changed the lease since it was read.
+		const readAt = Math.max(this.#changedAt, this.context.store.era.since);
+		this.#lastBeat = {
+			beat,
+			at: this.context.clock.now(),
+			formerLeaseEndsAt: readAt + leaseMs + marginMs,
+		};
 		this.#writing = true;
 		const written = await this.context.store.write({
 			kind: keepersKind,
@@ -129,13 +175,14 @@
 				this.context.log.warn('beat-failed', {
 					service: this.service,
 					error: errorText(error),
-					knownRevision: this.#object?.revision,
-					heldRevision: heldRevision(error),
+					knownRevision: revisionText(this.#object?.revision),
+					heldRevision: revisionText(heldRevision(error)),
 				});
 				if (error.kind === 'conflict') {
 					this.update(error.held);
 				} else if (error.kind === 'missing') {
-					this.#object = undefined;
+					const {number} = this.context.store.era;
+					this.#lose(Math.max(this.#asOf, revisionIn(number, 0) ?? 0));
 				}
 			},
 			(object) => {
--- a/packages/daemon/src/gateway/keepers-task.ts
+++ b/packages/daemon/src/gateway/keepers-task.ts
@@ -87,14 +87,15 @@
 		void this.#readTraffic();
 		this.#leases.objects.subscribe((objects) => {
 			for (const [service, {lease}] of this.#keepers) {
-				lease.update(objects?.get(service));
+				lease.update(objects?.get(service), this.#leases.revision);
 			}
 
 			this.#startKeepers();
 		});
-		this.view.rangeTableObjects.objects.subscribe((objects) => {
+		const {rangeTableObjects} = this.view;
+		rangeTableObjects.objects.subscribe((objects) => {
 			for (const [service, {keeper}] of this.#keepers) {
-				keeper.update(objects?.get(service));
+				keeper.update(objects?.get(service), rangeTableObjects.revision);
 			}
 		});
 		this.view.view.subscribe(() => {
@@ -259,8 +260,15 @@
 			movedKeysShare: () =>
 				movedKeysShare(this.deployment.movedKeysShare, view.view.value.daemons),
 		});
-		lease.update(this.#leases.objects.value?.get(service));
-		keeper.update(view.rangeTableObjects.objects.value?.get(service));
+		const {rangeTableObjects} = view;
+		lease.update(
+			this.#leases.objects.value?.get(service),
+			this.#leases.revision,
+		);
+		keeper.update(
+			rangeTableObjects.objects.value?.get(service),
+			rangeTableObjects.revision,
+		);
 		this.#keepers.set(service, {lease, keeper});
 		this.#setPollingPace();
 		keeper.start();
--- a/packages/daemon/src/gateway/kept-table.ts
+++ b/packages/daemon/src/gateway/kept-table.ts
@@ -1,12 +1,26 @@
 /**
  * The range table of one service, as last read from or written to the store. It is
  * written only over the revision last known.
+ *
+ * After the store has been restored from a copy, the copy's table may lack the last
+ * changes: keys may be granted that it does not show. The keeper that made them writes its
+ * own table again. Any other daemon goes on from the newer of the copy's table and the one
+ * that it has read before, and neither has to be complete.
  */
-import {fold, type RangeTable} from '@kingcuproute/core';
 import {
+	eraOf,
+	firstEra,
+	fold,
+	revisionIn,
+	revisionText,
+	type RangeTable,
+} from '@kingcuproute/core';
+import {
+	isOfItsEra,
 	parseRangeTable,
 	rangeTablesKind,
 	rangeTableSpec,
+	withEra,
 	errorText,
 	heldRevision,
 	type ObjectStore,
@@ -24,8 +38,12 @@
 
 export class KeptTable {
 	/** Whether it was written under the lease held now. After that no earlier write can succeed. */
-	isWrittenUnderLease = false;
+	#isWrittenUnderLease = false;
+	/** Whether all changes since the lease was taken are this daemon's, whatever the store shows. */
+	#isOwn = false;
 	#object: StoredObject | undefined;
+	/** The revision as of which the object, or that there is none, is known. */
+	#asOf = 0;
 	#table: RangeTable;
 	/** The table written last, whose answer may have been lost. */
 	#lastWritten: RangeTable | undefined;
@@ -48,27 +66,63 @@
 		return this.#isWriting;
 	}
 
-	/** Applies the table's object as read from the store, unless it is older than the known one. */
-	update(object: StoredObject | undefined): void {
-		if ((object?.revision ?? 0) <= (this.#object?.revision ?? 0)) {
+	/** Whether it was written under the lease held now, in the present era of the store. */
+	get isWrittenUnderLease(): boolean {
+		return this.#isWrittenUnderLease && this.#isOfPresentEra;
+	}
+
+	/** Whether keys may be granted that the table does not show as granted. */
+	get mayLackGrants(): boolean {
+		if (this.#isOwn || this.context.store.era.number <= firstEra) {
+			return false;
+		}
+
+		return !this.#object || !this.#isOfPresentEra || !isOfItsEra(this.#object);
+	}
+
+	/** To be called when this daemon has taken the lease: another one may have changed the table. */
+	beginTenure(): void {
+		this.#isWrittenUnderLease = false;
+		this.#isOwn = false;
+	}
+
+	/** To be called when the table has been written first under the lease. */
+	confirmTenure(): void {
+		this.#isWrittenUnderLease = true;
+		this.#isOwn = true;
+	}
+
+	/** Applies the table's object as read from the store at a revision, unless it is older than the known one; undefined while there is none. */
+	update(object: StoredObject | undefined, asOf = object?.revision ?? 0): void {
+		if (!object) {
+			if (eraOf(asOf) > eraOf(this.#asOf)) {
+				this.#lose(asOf);
+			}
+
+			return;
+		}
+
+		if (object.revision <= this.#asOf) {
 			return;
 		}
 
 		const table = fold(
-			parseRangeTable(object?.spec),
+			parseRangeTable(object.spec),
 			() => undefined,
 			(read) => read,
 		);
-		if (this.isWrittenUnderLease && this.context.lease.isHeld) {
+		if (this.#isWrittenUnderLease && this.context.lease.isHeld) {
 			const isOurs =
-				table && [this.#table, this.#lastWritten].some(equalTo(table));
-			// Another writer has replaced the table. The keeper's own copy is right, and is written again.
-			this.isWrittenUnderLease = isOurs ?? false;
-			this.#object = object;
-			this.#table = isOurs ? table : this.#table;
+				table &&
+				isOfItsEra(object) &&
+				[this.#table, this.#lastWritten].some(equalTo(table));
+			// Another writer has replaced the table, or a copy has. The keeper's own copy is right, and is written again.
+			this.#isWrittenUnderLease = isOurs ?? false;
+			this.#take(object, isOurs ? table : this.#table);
 		} else if (table) {
-			this.#object = object;
-			this.#table = table;
+			const isNewer =
+				isOfItsEra(object) || table.nextFence >= this.#table.nextFence;
+			this.#take(object, isNewer ? table : this.#table);
 		}
 	}
 
@@ -81,7 +135,7 @@
 			kind: rangeTablesKind,
 			name: service,
 			revision: this.#object?.revision,
-			spec: rangeTableSpec(table),
+			spec: withEra(rangeTableSpec(table), store.era.number),
 		});
 		this.#isWriting = false;
 		return fold(
@@ -90,24 +144,31 @@
 				log.warn('table-not-written', {
 					service,
 					error: errorText(error),
-					knownRevision: this.#object?.revision,
-					heldRevision: heldRevision(error),
+					knownRevision: revisionText(this.revision),
+					heldRevision: revisionText(heldRevision(error)),
 				});
 				if (error.kind === 'conflict') {
 					this.update(error.held);
 				} else if (error.kind === 'missing') {
-					this.#object = undefined;
+					this.#lose(
+						Math.max(this.#asOf, revisionIn(store.era.number, 0) ?? 0),
+					);
 				}
 
 				return false;
 			},
 			(object) => {
-				if (object.revision < (this.#object?.revision ?? 0)) {
+				if (object.revision < this.#asOf) {
+					return false;
+				}
+
+				if (!isOfItsEra(object)) {
+					// The store was restored before it carried the write out.
+					this.update(object);
 					return false;
 				}
 
-				this.#object = object;
-				this.#table = table;
+				this.#take(object, table);
 				return true;
 			},
 		);
@@ -117,6 +178,23 @@
 	equals(table: RangeTable): boolean {
 		return equalTo(table)(this.#table);
 	}
+
+	get #isOfPresentEra(): boolean {
+		return eraOf(this.#asOf) >= this.context.store.era.number;
+	}
+
+	#take(object: StoredObject, table: RangeTable): void {
+		this.#object = object;
+		this.#asOf = object.revision;
+		this.#table = table;
+	}
+
+	/** Records that the store has no such object; the table that was known is the best that there is. */
+	#lose(asOf: number): void {
+		this.#object = undefined;
+		this.#asOf = asOf;
+		this.#isWrittenUnderLease = false;
+	}
 }
 
 function equalTo(table: RangeTable) {
--- a/packages/daemon/src/gateway/key-grants.ts
+++ b/packages/daemon/src/gateway/key-grants.ts
@@ -27,7 +27,7 @@
 /** How much slower the clock of a server may run. */
 const slowClockFactor = 1.02;
 /** From the sending of a grant until every lease that it may start has expired. */
-const maxLeaseMs: Millis = keyLeaseMs * slowClockFactor + orderTimeoutMs;
+export const maxLeaseMs: Millis = keyLeaseMs * slowClockFactor + orderTimeoutMs;
 const expiryCheckMs: Millis = 100;
 
 export type KeyGrantsContext = {
@@ -76,13 +76,13 @@
 		return {underWay, unanswered};
 	}
 
-	/** Records that another daemon may have sent grants for `ranges` to their holders until now. */
-	assumeSent(ranges: readonly KeyRange[]): void {
+	/** Records that another daemon may have sent grants for `ranges` to their holders until `sentUntil`. */
+	assumeSent(ranges: readonly KeyRange[], sentUntil: Millis): void {
 		const now = this.context.clock.now();
 		for (const range of ranges) {
 			const {from, to, fence} = range;
 			const run = this.#leasesOf(ownerKeyOf(range));
-			const overAt = now + maxLeaseMs;
+			const overAt = sentUntil + maxLeaseMs;
 			const grant = {from, to, fence, overAt, isTaken: false};
 			run.ledger = run.ledger.with(grant, now);
 		}
--- a/packages/daemon/src/gateway/key-keeper.ts
+++ b/packages/daemon/src/gateway/key-keeper.ts
@@ -5,8 +5,10 @@
  */
 import {
 	applyMoves,
+	firstFenceOf,
 	joinRanges,
 	rangesByOwner,
+	revisionText,
 	runKeyOf,
 	withNewFences,
 	withoutAll,
@@ -17,7 +19,7 @@
 } from '@kingcuproute/core';
 import {type StoredObject} from '@kingcuproute/platform';
 import {KeptTable, type KeptTableContext} from './kept-table.js';
-import {KeyGrants, type KeyGrantsContext} from './key-grants.js';
+import {KeyGrants, maxLeaseMs, type KeyGrantsContext} from './key-grants.js';
 import {KeyPlanner, type KeyPlannerContext} from './key-planner.js';
 
 const tickMs: Millis = 100;
@@ -45,6 +47,8 @@
 	#freedMoves: FreedMove[] = [];
 	#tenure = 0;
 	#wasHeld = false;
+	/** Until when this daemon grants no keys, since others may hold them. */
+	#waitsUntil: Millis | undefined;
 	#cancel: (() => void) | undefined;
 
 	constructor(private readonly context: KeyKeeperContext) {
@@ -64,9 +68,9 @@
 		await this.context.lease.release();
 	}
 
-	/** Applies the range table's object as read from the store. */
-	update(object: StoredObject | undefined): void {
-		this.#table.update(object);
+	/** Applies the range table's object as read from the store at a revision. */
+	update(object: StoredObject | undefined, asOf?: number): void {
+		this.#table.update(object, asOf);
 	}
 
 	async #tick(): Promise<void> {
@@ -74,7 +78,8 @@
 		await lease.renewOrAcquire();
 		if (lease.tenure !== this.#tenure) {
 			this.#tenure = lease.tenure;
-			this.#table.isWrittenUnderLease = false;
+			this.#table.beginTenure();
+			this.#waitsUntil = undefined;
 			this.#pendingMoves.clear();
 			this.#freedMoves = [];
 		}
@@ -108,30 +113,57 @@
 	 * Writes the table once under the new lease, so that writes of the former keeper that
 	 * are still in flight fail. That keeper may have sent grants until its own lease ended,
 	 * and servers may carry them out even later. A server refuses them once it has taken a
-	 * higher fence, so each range gets a new one.
+	 * higher fence, so each range gets a new one. Those of a later era of the store are
+	 * higher than any of a former one, also than those that the store has forgotten.
 	 */
 	async #takeOver(): Promise<void> {
-		const {log, service, lease} = this.context;
+		const {log, service, lease, store} = this.context;
+		if (this.#mustWait()) {
+			return;
+		}
+
 		const {tenure} = lease;
 		const {ranges} = this.#table.value;
 		const readRevision = this.#table.revision;
-		const table = withNewFences(this.#table.value);
+		const lowestFence = firstFenceOf(store.era.number);
+		const table = withNewFences(this.#table.value, lowestFence);
 		const written = await this.#table.write(table);
 		if (!written || !lease.isHeld || lease.tenure !== tenure) {
 			return;
 		}
 
-		this.#table.isWrittenUnderLease = true;
-		this.#grants.assumeSent(ranges);
+		this.#table.confirmTenure();
+		this.#grants.assumeSent(ranges, lease.formerOrdersEndedAt);
 		log.info('keeper-took-over', {
 			service,
 			ranges: table.ranges.length,
 			nextFence: table.nextFence,
-			readRevision,
-			revision: this.#table.revision,
+			readRevision: revisionText(readRevision),
+			revision: revisionText(this.#table.revision),
 		});
 	}
 
+	/**
+	 * Whether servers that the table does not name may still hold keys by grants of a former
+	 * keeper.
+	 */
+	#mustWait(): boolean {
+		const {clock, lease, log, service} = this.context;
+		if (!this.#table.mayLackGrants) {
+			return false;
+		}
+
+		const until = lease.formerOrdersEndedAt + maxLeaseMs;
+		const forMs = Math.round(until - clock.now());
+		if (forMs > 0 && this.#waitsUntil !== until) {
+			this.#waitsUntil = until;
+			const revision = revisionText(this.#table.revision);
+			log.warn('keeper-waits-for-leases', {service, forMs, revision});
+		}
+
+		return forMs > 0;
+	}
+
 	/** Renews the leases on all keys but those of pending moves. */
 	#renew(): void {
 		const {ranges} = this.#table.value;
--- a/packages/daemon/test/gateway-keepers.ts
+++ b/packages/daemon/test/gateway-keepers.ts
@@ -309,10 +309,18 @@
 	};
 }
 
-/** Starts a daemon on each of `vms`, which keep the keys of one service with the servers `names`. */
-export function startFleet(vms: readonly string[], names: readonly string[]) {
+/** Starts a daemon on each of `vms`, which keep the keys of one service with the servers `names`. The store is in `era`. */
+export function startFleet(
+	vms: readonly string[],
+	names: readonly string[],
+	era = 0,
+) {
 	const manualClock = new ManualClock();
 	const shared = new MemoryStore('', new RunClock(manualClock));
+	for (let count = 0; count < era; count++) {
+		shared.restore(shared.copy());
+	}
+
 	const orders = new FencingServers(manualClock);
 	/** Servers that have told a daemon that they are leaving. */
 	const announced = new Set<string>();
@@ -322,6 +330,7 @@
 	const startDaemon = (vm: string) => {
 		const clock = new RunClock(manualClock);
 		const store = new MemoryStore(vm, clock, shared);
+		store.hear();
 		const lease = new KeeperLease('s', vm, {store, clock, log});
 		const keeper = new KeyKeeper({
 			service: 's',
@@ -342,15 +351,20 @@
 			onMoves: () => undefined,
 		});
 		keeper.start();
-		return {vm, clock, lease, keeper};
+		return {vm, clock, store, lease, keeper};
 	};
 
+	/** VMs that read the range table through a watcher that does not answer. */
+	const lagging = new Set<string>();
 	const daemons = vms.map((vm) => startDaemon(vm));
 	const publishStore = () => {
-		for (const {vm, clock, lease, keeper} of daemons) {
+		for (const {vm, clock, store, lease, keeper} of daemons) {
 			if (clock.isRunning && !shared.cut.has(vm)) {
-				lease.update(stored('kingcuproute-keepers/s'));
-				keeper.update(stored('kingcuproute-range-tables/s'));
+				store.hear();
+				lease.update(stored('kingcuproute-keepers/s'), shared.revision);
+				if (!lagging.has(vm)) {
+					keeper.update(stored('kingcuproute-range-tables/s'), shared.revision);
+				}
 			}
 		}
 	};
@@ -365,6 +379,7 @@
 		orders,
 		daemons,
 		cut: shared.cut,
+		lagging,
 		unanswered: shared.unanswered,
 		shared,
 		put: (path: string, spec: unknown) => shared.put(path, spec),
@@ -381,6 +396,10 @@
 		setTraffic(next: KeyTraffic) {
 			traffic = next;
 		},
+		/** Starts a daemon on one more VM. */
+		add(vm: string) {
+			daemons.push(startDaemon(vm));
+		},
 		/** Ends a daemon's run and starts a new one on the same VM. */
 		restart(index: number) {
 			const {vm, clock} = daemons[index];
--- a/packages/daemon/test/memory-store.ts
+++ b/packages/daemon/test/memory-store.ts
@@ -1,5 +1,11 @@
-/** The platform's store in memory, as seen by one run of a daemon. */
-import {type Millis} from '@kingcuproute/core';
+/** The platform's store in memory, as seen by one run of a daemon. It can be restored from a copy. */
+import {
+	eraOf,
+	numberOf,
+	revisionIn,
+	type Millis,
+	type StoreEra,
+} from '@kingcuproute/core';
 import {
 	ObjectStore,
 	type ObjectError,
@@ -14,6 +20,12 @@
 
 type Version = {readonly revision: number; readonly spec: unknown};
 
+/** The store's content at one moment. */
+export type MemoryCopy = {
+	readonly objects: ReadonlyMap<string, Version>;
+	readonly lastNumber: number;
+};
+
 /** Objects in memory, with conditional writes. In place of a watch, the test calls the readers' `update`. */
 export class MemoryStore extends ObjectStore {
 	readonly objects = new Map<string, Version>();
@@ -27,7 +39,10 @@
 	readonly slow = new Map<string, Millis>();
 	/** Delay between applying a write and its answer. */
 	answerMs: Millis = 0;
-	#lastRevision = 1;
+	#eraNumber = 0;
+	#lastNumber = 1;
+	/** The newest era that an answer named to this run. */
+	#heard: StoreEra = {number: 0, since: -Infinity};
 
 	constructor(
 		private readonly vm: string,
@@ -38,6 +53,36 @@
 		super();
 	}
 
+	override get era(): StoreEra {
+		return this.#heard;
+	}
+
+	/** Records that this run has had an answer of the store. */
+	hear(): void {
+		const number = (this.shared ?? this).#eraNumber;
+		if (number > this.#heard.number) {
+			this.#heard = {number, since: this.clock.now()};
+		}
+	}
+
+	/** The present content, for `restore`. */
+	copy(): MemoryCopy {
+		return {objects: new Map(this.objects), lastNumber: this.#lastNumber};
+	}
+
+	/** Enters the next era with the content of a copy. */
+	restore({objects, lastNumber}: MemoryCopy): void {
+		this.#eraNumber++;
+		this.#lastNumber = lastNumber;
+		this.objects.clear();
+		for (const [path, {revision, spec}] of objects) {
+			this.objects.set(path, {
+				revision: this.#revisionOf(numberOf(revision)),
+				spec,
+			});
+		}
+	}
+
 	override async list(kind: string) {
 		const objects = [...this.#allObjects()]
 			.filter(([path]) => path.startsWith(`${kind}/`))
@@ -62,7 +107,15 @@
 			return Left<ObjectError>({kind: 'unknown', message: 'no answer'});
 		}
 
+		if (
+			write.revision !== undefined &&
+			eraOf(write.revision) < this.#heard.number
+		) {
+			return objectStore.#conflictOf(write);
+		}
+
 		const result = objectStore.#apply(write);
+		this.hear();
 		if (result.isRight() && objectStore.unanswered.has(this.vm)) {
 			await this.clock.sleep(callTimeoutMs);
 			return Left<ObjectError>({kind: 'unknown', message: 'no answer'});
@@ -74,9 +127,14 @@
 		return result;
 	}
 
+	/** The present revision. */
+	get revision(): number {
+		return this.#revisionOf(this.#lastNumber);
+	}
+
 	put(path: string, spec: unknown): Version {
-		this.#lastRevision++;
-		const next = {revision: this.#lastRevision, spec};
+		this.#lastNumber++;
+		const next = {revision: this.#revisionOf(this.#lastNumber), spec};
 		this.objects.set(path, next);
 		return next;
 	}
@@ -85,17 +143,37 @@
 		return Right(undefined);
 	}
 
-	#apply({
-		kind,
-		name,
-		revision,
-		spec,
-	}: ObjectWrite): Either<ObjectError, StoredObject> {
+	/** Carries a write out if the number of its revision is the object's, and answers as the client of the store does. */
+	#apply(write: ObjectWrite): Either<ObjectError, StoredObject> {
+		const {kind, name, revision, spec} = write;
+		const path = `${kind}/${name}`;
+		const current = this.objects.get(path);
+		const isExpected =
+			revision === undefined || !current
+				? revision === current?.revision
+				: numberOf(current.revision) === numberOf(revision);
+		if (!isExpected) {
+			return this.#conflictOf(write);
+		}
+
+		const object = storedObject(path, this.put(path, spec));
+		return revision !== undefined && eraOf(revision) < this.#eraNumber
+			? Left({kind: 'conflict', held: object})
+			: Right(object);
+	}
+
+	#conflictOf({kind, name}: ObjectWrite): Either<ObjectError, never> {
 		const path = `${kind}/${name}`;
 		const current = this.objects.get(path);
-		return current?.revision === revision
-			? Right(storedObject(path, this.put(path, spec)))
-			: Left({kind: 'conflict', held: current && storedObject(path, current)});
+		return Left(
+			current
+				? {kind: 'conflict', held: storedObject(path, current)}
+				: {kind: 'missing'},
+		);
+	}
+
+	#revisionOf(number: number): number {
+		return revisionIn(this.#eraNumber, number)!;
 	}
 
 	#allObjects() {
--- a/packages/fakes/test/gateway-restore.test.ts
+++ b/packages/fakes/test/gateway-restore.test.ts
@@ -1,5 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
+import {keepersKind} from '@kingcuproute/platform';
 import {createFleet, type Fleet, type FleetDaemon} from './gateway-fleet.js';
 import {siteConfig} from './gateway-site.js';
 import {KeyServers, sampleKeys} from './key-servers.js';
@@ -53,6 +54,11 @@
 	return copy;
 }
 
+function keeperOf({fleet}: Drill): FleetDaemon {
+	const {vm} = fleet.store.specOf(keepersKind, service) as {vm: string};
+	return fleet.daemons.find((daemon) => daemon.vm === vm)!;
+}
+
 async function isServed(daemon: FleetDaemon, key: number): Promise<boolean> {
 	const status = await daemon.statusOf('/clock/', {
 		'x-kingcuproute-shard-key': String(key),
@@ -96,6 +102,54 @@
 	await checkRecovery(t, drill, drill.fleet.daemons, performance.now());
 });
 
+// A daemon that knew only the copy granted keys by fences that other servers had had.
+test('a daemon that starts on a restored store uses no fence again', async (t) => {
+	const drill = await startDrill(t);
+	const copy = await joinAfterCopy(drill, 'k-4');
+	drill.fleet.store.restore(copy);
+	const restoredAt = performance.now();
+	await drill.fleet.addDaemon('d');
+	await checkRecovery(t, drill, drill.fleet.daemons, restoredAt);
+});
+
+// Nobody alive knew of the grants that the copy lacks.
+test('keys get one holder each after the store is restored and the keeper is lost with it', async (t) => {
+	const drill = await startDrill(t);
+	const copy = await joinAfterCopy(drill, 'k-4');
+	const keeper = keeperOf(drill);
+	await keeper.kill();
+	drill.fleet.store.restore(copy);
+	const restoredAt = performance.now();
+	await drill.fleet.addDaemon('d');
+	const others = drill.fleet.daemons.filter((daemon) => daemon !== keeper);
+	await checkRecovery(t, drill, others, restoredAt);
+});
+
+// As above, without any daemon that knows more than the copy.
+test('keys get one holder each after the store is restored and all daemons are lost with it', async (t) => {
+	const drill = await startDrill(t);
+	const copy = await joinAfterCopy(drill, 'k-4');
+	const former = [...drill.fleet.daemons];
+	await Promise.all(former.map(async (daemon) => daemon.kill()));
+	drill.fleet.store.restore(copy);
+	const restoredAt = performance.now();
+	const added = await drill.fleet.addDaemon('d');
+	await checkRecovery(t, drill, [added], restoredAt);
+});
+
+// The second copy is older than what the daemons wrote after the first.
+test('keys are served again after the store is restored twice', async (t) => {
+	const drill = await startDrill(t);
+	const copy = await joinAfterCopy(drill, 'k-4');
+	drill.fleet.store.restore(copy);
+	await sleep(2000);
+	const second = await joinAfterCopy(drill, 'k-5');
+	drill.fleet.store.restore(second);
+	const restoredAt = performance.now();
+	await drill.fleet.addDaemon('d');
+	await checkRecovery(t, drill, drill.fleet.daemons, restoredAt);
+});
+
 // Daemons went on from a revision that the restored store gave out again, and heard of no change before it.
 test('a configuration that is written to a restored store is in force in time, also through a watcher', async (t) => {
 	const {fleet} = await startDrill(t, ['a', 'a', 'a', 'a']);
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -42,12 +42,14 @@
 export {
 	daemonsKind,
 	daemonSpec,
+	isOfItsEra,
 	keepersKind,
 	rangeTablesKind,
 	rangeTableSpec,
 	parseDaemon,
 	parseKeeper,
 	parseRangeTable,
+	withEra,
 	type Keeper,
 } from './range-table-document.js';
 export {
--- a/packages/platform/src/range-table-document.ts
+++ b/packages/platform/src/range-table-document.ts
@@ -1,5 +1,11 @@
-/** Key tables and the leases of their keepers, in the form stored on the platform. */
+/**
+ * Key tables and the leases of their keepers, in the form stored on the platform. Each names
+ * the era of the store in which it was written, so that one that a copy brought back is not
+ * taken for one that holds in the present era.
+ */
 import {
+	eraOf,
+	firstEra,
 	validate,
 	maxKey,
 	type Validated,
@@ -8,6 +14,7 @@
 import {z} from 'zod';
 import {type Deployment} from './deployment.js';
 import {ifReadable} from './if-readable.js';
+import {type StoredObject} from './object-store.js';
 import {reachableAddress} from './reachable-address.js';
 
 export const rangeTablesKind = 'kingcuproute-range-tables';
@@ -31,6 +38,7 @@
 		.refine(coversAllKeys, 'expected every key once, in order, or none'),
 });
 const keeper = z.object({vm: z.string(), beat: z.number().int()});
+const eraStamp = z.object({era: z.number().int()});
 const daemon = z.object({
 	failureDomain: z.string(),
 	/** Where other daemons reach it, and its processor time per second in cores; a daemon without them is no peer. */
@@ -71,7 +79,7 @@
 	service,
 	nextFence,
 	ranges,
-}: RangeTable): unknown {
+}: RangeTable): Record<string, unknown> {
 	return {
 		service,
 		nextFence,
@@ -108,6 +116,17 @@
 	return validate(daemon, spec);
 }
 
+/** `spec` of a table or lease, with the era of the store in which it is written. */
+export function withEra(spec: Record<string, unknown>, era: number): unknown {
+	return {...spec, era};
+}
+
+/** Whether the table or lease was written in the era in which it was read, not in one before it. */
+export function isOfItsEra({spec, revision}: StoredObject): boolean {
+	const era = eraOf(revision);
+	return era <= firstEra || eraStamp.safeParse(spec).data?.era === era;
+}
+
 export function parseKeeper(spec: unknown): Validated<Keeper> {
 	return validate(keeper, spec);
 }
