Take no lease for free, or for one's own, by what a copy of the store shows or lacks

What callers saw: two keepers at a time, and two holders of the same keys, where the store came back from a copy older than the last change of keeper, or than the first lease.

Cause: a lease names a daemon and a beat, not when it held. A daemon that found its own name in the copy took the lease as that of a former run, at once; one that found the copy's lease released, or none, took it at once too. The keeper went on meanwhile until its lease had run out, and dropped it at the name of another daemon in the copy.

Change: the lease names the era in which it was written. One of a former era says nothing: its holder keeps the lease by its own clock, and writes it again as soon as any answer names the new era; another daemon takes it after it has stood unchanged for lease and margin. Where there is none, that time counts from when the daemon first heard of the era. In the first era nothing changes.

--- a/packages/daemon/src/gateway/keeper-lease.ts
+++ b/packages/daemon/src/gateway/keeper-lease.ts
@@ -2,9 +2,14 @@
  * The lease that allows one daemon at a time to grant and release a service's keys.
  * It is an object in the platform's store that its holder rewrites with every beat.
  * Another daemon takes it once it has seen no change for longer than the lease lasts.
+ *
+ * The lease outlasts a restore of the store from a copy: its holder writes it again, and what
+ * the copy shows, or lacks, neither ends the lease nor makes it free. Leases of the former
+ * era have expired when this daemon has known of the present one for longer than they last.
  */
 import {
 	eraOf,
+	firstEra,
 	fold,
 	revisionIn,
 	revisionText,
@@ -12,8 +17,10 @@
 	type Millis,
 } from '@kingcuproute/core';
 import {
+	isOfItsEra,
 	keepersKind,
 	parseKeeper,
+	withEra,
 	errorText,
 	heldRevision,
 	type ObjectStore,
@@ -105,7 +112,9 @@
 		this.#asOf = object.revision;
 		this.#changedAt = this.context.clock.now();
 		const keeper = parseKeeper(object.spec).orDefault({vm: '', beat: 0});
-		if (keeper.vm !== this.vm) {
+		if (!isOfItsEra(object)) {
+			this.#logRestored(keeper.vm);
+		} else if (keeper.vm !== this.vm) {
 			this.#expiresAt = -Infinity;
 		} else if (keeper.beat === this.#lastBeat.beat) {
 			// The store has taken the beat, even if the answer to it was lost.
@@ -116,7 +125,8 @@
 	/** Sends a beat when one is due, or takes an expired lease. To be called about every 100 ms. */
 	async renewOrAcquire(): Promise<void> {
 		const now = this.context.clock.now();
-		const mayBeat = now - this.#lastBeat.at >= beatMs;
+		const mayBeat =
+			now - this.#lastBeat.at >= beatMs || (this.isHeld && this.#isUnwritten);
 		if (!this.#writing && mayBeat && (this.isHeld || this.#isFree(now))) {
 			await this.#beat(this.vm);
 		}
@@ -130,11 +140,34 @@
 		}
 	}
 
+	/** Whether the present era of the store has no lease that was written in it, as far as is known. */
+	get #isUnwritten(): boolean {
+		return (
+			!this.#object ||
+			eraOf(this.#asOf) < this.context.store.era.number ||
+			!isOfItsEra(this.#object)
+		);
+	}
+
 	/** Records that the store has no such object. */
 	#lose(asOf: number): void {
 		this.#object = undefined;
 		this.#asOf = asOf;
 		this.#changedAt = this.context.clock.now();
+		this.#logRestored(undefined);
+	}
+
+	#logRestored(vm: string | undefined): void {
+		if (eraOf(this.#asOf) <= firstEra) {
+			return;
+		}
+
+		this.context.log.warn('keeper-lease-restored', {
+			service: this.service,
+			revision: revisionText(this.#asOf),
+			keeper: vm,
+			isHeld: this.isHeld,
+		});
 	}
 
 	#extend(until: Millis): void {
@@ -166,7 +199,7 @@
 			kind: keepersKind,
 			name: this.service,
 			revision: this.#object?.revision,
-			spec: {vm, beat},
+			spec: withEra({vm, beat}, this.context.store.era.number),
 		});
 		this.#writing = false;
 		fold(
@@ -193,13 +226,16 @@
 
 	#isFree(now: Millis): boolean {
 		if (!this.#object) {
-			return true;
+			const {number, since} = this.context.store.era;
+			return number <= firstEra || now - since > leaseMs + marginMs;
 		}
 
 		// A former run on this VM has ended and no longer uses its lease.
-		const isReleased = parseKeeper(this.#object.spec)
-			.map(({vm}) => vm === '' || vm === this.vm)
-			.orDefault(false);
+		const isReleased =
+			isOfItsEra(this.#object) &&
+			parseKeeper(this.#object.spec)
+				.map(({vm}) => vm === '' || vm === this.vm)
+				.orDefault(false);
 		const extraMs = this.isUpdatedSlowly ? slowUpdateMs : 0;
 		return isReleased || now - this.#changedAt > leaseMs + marginMs + extraMs;
 	}
