Register a daemon again when the list of daemons has lost its entry

Cause: the entry was written once, at the start, and taken for there ever after; a store restored from an older copy lacks it for good.

Change: Registration, a class of its own, follows the list and writes the entry again when a later reading lacks it, until the daemon stops.

Evidence: gateway-restore 'a daemon whose entry the copy lacks registers again', before: not within 20 s; now green.

--- a/packages/daemon/src/gateway/keepers-task.ts
+++ b/packages/daemon/src/gateway/keepers-task.ts
@@ -1,5 +1,4 @@
 /** Runs a keeper for each service divided by key, and registers this daemon with the others. */
-import {isDeepStrictEqual} from 'node:util';
 import {
 	movedKeysShare,
 	reportExpiryMs,
@@ -10,13 +9,10 @@
 } from '@kingcuproute/core';
 import {
 	daemonsKind,
-	daemonSpec,
 	keepersKind,
-	errorText,
 	parseKeeper,
 	type Deployment,
 	type KeyOrders,
-	type ObjectError,
 	type ObjectStore,
 } from '@kingcuproute/platform';
 import {inject, singleton} from 'tsyringe';
@@ -27,13 +23,12 @@
 import {KeeperLease} from './keeper-lease.js';
 import {KeyKeeper} from './key-keeper.js';
 import {KindFollower} from './kind-follower.js';
+import {Registration} from './registration.js';
 import {RelayedReports} from './relayed-reports.js';
 import {ServerNotices} from './server-notices.js';
 import {trafficWriteRate} from './traffic-task.js';
 import {ViewTask} from './view-task.js';
 
-/** Between two attempts to register; jittered, because all daemons try at once after an outage of the store. */
-const registerRetryMs: Millis = 1000;
 /** As often as daemons report changed traffic. */
 const readTrafficMs: Millis = 1000;
 /** While all daemons report through peers, the store is read only in case that one no longer can. */
@@ -46,6 +41,7 @@
 	readonly #keepers = new Map<string, KeptService>();
 	readonly #leases: KindFollower;
 	readonly #traffic: FleetTraffic;
+	readonly #registration: Registration;
 	#stopped = false;
 
 	constructor(
@@ -56,7 +52,7 @@
 		@inject('KeyOrders') private readonly orders: KeyOrders,
 		@inject('Deployment') private readonly deployment: Deployment,
 		@inject('Clock') private readonly clock: Clock,
-		@inject('Random') private readonly random: Random,
+		@inject('Random') random: Random,
 		@inject(GatewayMetrics) private readonly metrics: GatewayMetrics,
 		@inject(Log) private readonly log: Log,
 	) {
@@ -74,6 +70,14 @@
 			isKept: (service) => this.#keepers.get(service)?.lease.isHeld ?? false,
 			addressOf: (service) => this.#keeperAddress(service),
 		});
+		this.#registration = new Registration({
+			deployment,
+			store,
+			clock,
+			random,
+			log,
+			daemons: view.followers.get(daemonsKind)!,
+		});
 		this.#leases = new KindFollower(keepersKind, {
 			store,
 			clock,
@@ -103,14 +107,14 @@
 			this.#startKeepers();
 		});
 		this.#leases.start();
-		void this.#register();
+		this.#registration.start();
 	}
 
 	override async stop(): Promise<void> {
 		this.#stopped = true;
 		this.#leases.stop();
 		await Promise.all([
-			this.#deregister(),
+			this.#registration.stop(),
 			...[...this.#keepers.values()].map(async ({keeper}) => keeper.stop()),
 		]);
 	}
@@ -165,51 +169,6 @@
 		return [...this.#keepers.values()].some(({lease}) => lease.isHeld);
 	}
 
-	/** Adds this daemon to the list of those that share the backend servers. */
-	async #register(): Promise<void> {
-		const {vm} = this.deployment;
-		const spec = daemonSpec(this.deployment);
-		let revision: number | undefined;
-		while (!this.#stopped) {
-			const written = await this.store.write({
-				kind: daemonsKind,
-				name: vm,
-				revision,
-				spec,
-			});
-			if (written.isRight()) {
-				return;
-			}
-
-			const error = written.extract() as ObjectError;
-			if (error.kind === 'conflict') {
-				// A former run on this VM has left its entry.
-				const {held} = error;
-				if (isDeepStrictEqual(held?.spec, spec)) {
-					return;
-				}
-
-				if (!held) {
-					await this.store.remove(daemonsKind, vm);
-				}
-
-				revision = held?.revision;
-				continue;
-			}
-
-			revision = undefined;
-			this.log.warn('not-registered', {error: errorText(error)});
-			await this.clock.sleep(this.random.jitter(registerRetryMs));
-		}
-	}
-
-	async #deregister(): Promise<void> {
-		const removed = await this.store.remove(daemonsKind, this.deployment.vm);
-		removed.ifLeft((error) => {
-			this.log.warn('not-deregistered', {error: errorText(error)});
-		});
-	}
-
 	#startKeepers(): void {
 		const {routes} = this.view.view.value;
 		if (!routes || !this.view.isComplete || !this.#leases.objects.value) {
--- a/packages/fakes/test/gateway-restore.test.ts
+++ b/packages/fakes/test/gateway-restore.test.ts
@@ -1,6 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
-import {keepersKind} from '@kingcuproute/platform';
+import {daemonsKind, keepersKind} from '@kingcuproute/platform';
 import {createFleet, type Fleet, type FleetDaemon} from './gateway-fleet.js';
 import {siteConfig} from './gateway-site.js';
 import {KeyServers, sampleKeys} from './key-servers.js';
@@ -179,3 +179,20 @@
 	const tookMs = Math.round(performance.now() - writtenAt);
 	t.true(tookMs < configMs, `${tookMs}`);
 });
+
+// Each daemon registered once; the others did not count it any more, nor choose it as standby or watcher.
+test('a daemon whose entry the copy lacks registers again', async (t) => {
+	const {fleet} = await startDrill(t);
+	const {store} = fleet;
+	const copy = store.copy();
+	const added = await fleet.addDaemon('d');
+	const isListed = ({vm}: FleetDaemon) =>
+		store.specOf(daemonsKind, vm) !== undefined;
+	await until(async () => isListed(added));
+	store.goAway();
+	await sleep(awayMs);
+	store.restore(copy);
+	t.false(isListed(added));
+	await until(async () => isListed(added));
+	t.true(fleet.daemons.every((daemon) => isListed(daemon)));
+});
