Write a crash report again after the store is restored from a copy

Cause: a report was written until the store had it, and taken for there ever after.

Change: a daemon that reads the reports in a later era than it has written its own writes that again.

Evidence: gateway-quarantine 'what crashes have shown ...', before: not within 20 s; now green.

--- a/packages/daemon/src/gateway/crash-quarantine.ts
+++ b/packages/daemon/src/gateway/crash-quarantine.ts
@@ -7,6 +7,7 @@
 import {
 	CrashLosses,
 	CrashReports,
+	eraOf,
 	fold,
 	runKeyOf,
 	type Clock,
@@ -178,6 +179,10 @@
 				return read;
 			});
 		this.#isRestored = true;
+		if (this.#isReportLost(objects)) {
+			void this.#write();
+		}
+
 		const merged = this.#reports.merge(events.flat(), this.clock.wall());
 		if (merged.isNew) {
 			this.#attend();
@@ -186,6 +191,16 @@
 		this.#logCondemned(merged.condemned);
 	}
 
+	/** Whether the store may have lost this daemon's newest report, or all of it, since it was restored from a copy. */
+	#isReportLost(objects: Objects | undefined): boolean {
+		const {revision = 0} = this.view.crashReportObjects;
+		return (
+			objects !== undefined &&
+			this.#revision !== undefined &&
+			eraOf(revision) > eraOf(this.#revision)
+		);
+	}
+
 	#logCondemned(fingerprints: readonly string[]): void {
 		for (const fingerprint of fingerprints) {
 			this.log.warn('request-quarantined', {
--- a/packages/fakes/test/gateway-quarantine.test.ts
+++ b/packages/fakes/test/gateway-quarantine.test.ts
@@ -1,11 +1,13 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'ava';
+import {crashReportsKind} from '@kingcuproute/platform';
 import {
 	createSite,
 	sendAnswer,
 	type RequestHandler,
 	type Site,
 } from './gateway-site.js';
+import {until as untilMet} from './requests-fixture.js';
 
 /** By the rules, how many retries may reach servers once the third crash has been known for a while. */
 const allowedRetries = 3;
@@ -103,3 +105,24 @@
 	isBroken = false;
 	t.is(await site.statusOf('/read/1'), 200);
 });
+
+// A daemon that started after the restore sent the request to further servers.
+test('what crashes have shown is written again if a copy from which the store is restored lacks it', async (t) => {
+	const site = createSite(t);
+	const {store} = site;
+	store.era = 1;
+	await addServers(site, 6);
+	await site.start();
+	const copy = store.copy();
+	const report = () => store.specOf(crashReportsKind, 'front-a-1');
+	await site.statusOf(poison);
+	await untilMet(async () => report() !== undefined);
+	await sleep(1000);
+	const known = report();
+	store.goAway();
+	await sleep(1000);
+	store.restore(copy);
+	t.is(report(), undefined);
+	await untilMet(async () => report() !== undefined);
+	t.deepEqual(report(), known);
+});
