Route by the newer table that is known after the store is restored from a copy

What callers saw: 503 for keys that had moved since the copy, until the keeper wrote its table again, or another one had taken over.

Cause: routing replaced its table by the copy's, as the newest reading.

Change: laterTable compares next fences, which only rise; a table of a former era does not replace a later one. The keeper's copy of the table goes by the same rule.

Evidence: gateway-tables 'requests go by the newer table ...', before: 503; now 200.

--- a/packages/core/src/gateway/key-range.ts
+++ b/packages/core/src/gateway/key-range.ts
@@ -26,6 +26,11 @@
 	readonly ranges: readonly KeyRange[];
 };
 
+/** Of two tables of a service, the one that was written later. */
+export function laterTable(a: RangeTable, b: RangeTable): RangeTable {
+	return b.nextFence >= a.nextFence ? b : a;
+}
+
 /** Whether this run of the server owns the range; a later run under the same id does not. */
 export function isHeldBy(
 	{owner, ownerStartedAt}: KeyRange,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -261,6 +261,7 @@
 export {waterFill} from './limits/water-fill.js';
 export {
 	isHeldBy,
+	laterTable,
 	maxKey,
 	ownerKeyOf,
 	rangeOf,
--- a/packages/daemon/src/gateway/kept-table.ts
+++ b/packages/daemon/src/gateway/kept-table.ts
@@ -11,6 +11,7 @@
 	eraOf,
 	firstEra,
 	fold,
+	laterTable,
 	revisionIn,
 	revisionText,
 	type RangeTable,
@@ -120,9 +121,8 @@
 			this.#isWrittenUnderLease = isOurs ?? false;
 			this.#take(object, isOurs ? table : this.#table);
 		} else if (table) {
-			const isNewer =
-				isOfItsEra(object) || table.nextFence >= this.#table.nextFence;
-			this.#take(object, isNewer ? table : this.#table);
+			const isPresent = isOfItsEra(object);
+			this.#take(object, isPresent ? table : laterTable(this.#table, table));
 		}
 	}
 
--- a/packages/daemon/src/gateway/view-task.ts
+++ b/packages/daemon/src/gateway/view-task.ts
@@ -4,6 +4,7 @@
 	chooseStandbys,
 	FleetSize,
 	fold,
+	laterTable,
 	LapseHold,
 	revisionText,
 	RouteTable,
@@ -21,6 +22,7 @@
 	crashReportsKind,
 	daemonsKind,
 	evacuationsKind,
+	isOfItsEra,
 	parseDaemon,
 	parseListedServer,
 	parseRangeTable,
@@ -167,15 +169,21 @@
 			this.#updateEvacuated(new Set(objects?.keys()));
 		});
 		rangeTables.objects.subscribe((objects) => {
-			const tables = this.#reader.readAll(
-				rangeTablesKind,
-				objects,
-				({name, spec}) =>
-					parseRangeTable(spec).map((table) => [name, table] as const),
+			const tables = this.#reader.readAll(rangeTablesKind, objects, (object) =>
+				parseRangeTable(object.spec).map(
+					(table) => [object.name, table, isOfItsEra(object)] as const,
+				),
 			);
 			// A service whose table was overwritten with an invalid one keeps the last valid table.
 			const {rangeTables: known} = this.view.value;
-			this.#update({rangeTables: new Map([...known, ...tables])});
+			const next = tables.map(([service, table, isPresent]) => {
+				const before = known.get(service);
+				return [
+					service,
+					isPresent || !before ? table : laterTable(before, table),
+				] as const;
+			});
+			this.#update({rangeTables: new Map([...known, ...next])});
 		});
 		daemons.objects.subscribe((objects) => {
 			const entries = this.#reader.readAll(
--- a/packages/fakes/test/gateway-tables.test.ts
+++ b/packages/fakes/test/gateway-tables.test.ts
@@ -63,3 +63,50 @@
 		t.true(performance.now() - sentAt < 1000, `round ${round}`);
 	}
 });
+
+// The copy's older table sent requests to servers that had given the keys away.
+test('requests go by the newer table that is known after the store is restored from a copy', async (t) => {
+	const site = createSite(t);
+	const {store} = site;
+	store.era = 1;
+	for (const name of ['i-1', 'i-2']) {
+		await site.addServer(name, service, (req, res, body) => {
+			if (name === 'i-2') {
+				sendAnswer(req, res, body);
+			} else {
+				const id = String(req.headers['x-kingcuproute-request-id']);
+				res.writeHead(421, {'x-kingcuproute-request-id': id});
+				res.end();
+			}
+		});
+	}
+
+	let beat = 0;
+	const beats = setInterval(() => {
+		beat++;
+		store.put(keepersKind, service, {vm: 'front-b-1', beat});
+	}, beatMs);
+	t.teardown(() => {
+		clearInterval(beats);
+	});
+	// Written by the keeper, so that nobody writes it again.
+	const writeTable = (owner: string, fence: number) => {
+		const ranges = [[0, maxKey, owner, 1, fence]];
+		const spec = {service, nextFence: fence + 1, ranges, era: 1};
+		store.putText(rangeTablesKind, service, (rev) =>
+			JSON.stringify({metadata: {name: service, rev}, spec}),
+		);
+	};
+
+	writeTable('i-1', 1);
+	const copy = store.copy();
+	writeTable('i-2', 2);
+	await site.start();
+	const key = {'x-kingcuproute-shard-key': '7'};
+	await until(async () => (await site.statusOf('/clock/', key)) === 200);
+	store.goAway();
+	await sleep(1000);
+	store.restore(copy);
+	await sleep(2000);
+	t.is(await site.statusOf('/clock/', key), 200);
+});
