Keep servers in service whose entries are lost in a restore of the store

What callers saw: 503 until a server had registered again, up to a heartbeat after the restore; its keys would have been moved meanwhile.

Cause: an entry that vanishes is kept for 2 s only if the store has been away for two heartbeats, since it can't lapse sooner. A store that comes back from a copy lacks younger entries however short it was away.

Change: the first reading of the entries in a later era counts as the store's return from an absence.

Evidence: gateway-lapse 'a server whose entry is lost ...', before: 503; now 200. A server that does not register again gets nothing after the 2 s, before and now.

--- a/packages/core/src/gateway/store-absence.ts
+++ b/packages/core/src/gateway/store-absence.ts
@@ -3,7 +3,8 @@
  * have lapsed. A server renews its entry at intervals, and the entry lapses after three of
  * them without a renewal. A daemon hears from the store more often than that, so that a
  * shorter pause between two answers shows that renewals could arrive, and that an entry
- * which vanished meanwhile was removed.
+ * which vanished meanwhile was removed. That does not hold for a store that has been restored
+ * from a copy, however short its absence: entries that are younger than the copy are lost.
  */
 import {type Millis} from '../time/clock.js';
 
@@ -25,6 +26,11 @@
 		return this.#returnedAt;
 	}
 
+	/** Records that the store has been restored from a copy. */
+	restored(now: Millis): void {
+		this.#returnedAt = now;
+	}
+
 	/** Records an answer of the store. */
 	answered(now: Millis): void {
 		if (
--- a/packages/daemon/src/gateway/view-task.ts
+++ b/packages/daemon/src/gateway/view-task.ts
@@ -2,6 +2,7 @@
 import {
 	CheckPace,
 	chooseStandbys,
+	eraOf,
 	FleetSize,
 	fold,
 	laterTable,
@@ -103,6 +104,8 @@
 	readonly #revokeMs: Millis;
 	readonly #gatherServersMs: Millis;
 	#evacuated: ReadonlySet<string> = new Set();
+	/** The era in which the entries of servers were last read. */
+	#serversEra: number | undefined;
 	readonly #lapseHold = new LapseHold();
 	readonly #fleetSize = new FleetSize();
 	readonly #reader: ObjectReader;
@@ -160,6 +163,7 @@
 				objects,
 				parseListedServer,
 			);
+			this.#noteRestore(servers.revision);
 			const {returnedAt} = contact.absence;
 			this.#updateServers(
 				this.#lapseHold.update(listed, returnedAt, clock.now()),
@@ -275,6 +279,17 @@
 		}
 	}
 
+	/** Notes whether entries have been read as of a later era than before. */
+	#noteRestore(revision = 0): void {
+		const era = eraOf(revision);
+		if (this.#serversEra !== undefined && era > this.#serversEra) {
+			this.contact.absence.restored(this.clock.now());
+			this.log.warn('store-restored', {revision: revisionText(revision)});
+		}
+
+		this.#serversEra = era;
+	}
+
 	#updateConfig(objects: Objects | undefined): void {
 		const object = objects?.get(configName);
 		if (!object) {
--- a/packages/fakes/src/platform/stand-in-store.ts
+++ b/packages/fakes/src/platform/stand-in-store.ts
@@ -128,6 +128,11 @@
 		}
 	}
 
+	/** Lets `restore` not write the object again, as if its writer had ended, or were late. */
+	forget(kind: string, name: string): void {
+		this.#foreign.delete(`${kind}/${name}`);
+	}
+
 	/** An object as the store holds it. */
 	specOf(kind: string, name: string): unknown {
 		const {text} = this.#kinds.get(kind)?.get(name) ?? {};
--- a/packages/fakes/test/gateway-lapse.test.ts
+++ b/packages/fakes/test/gateway-lapse.test.ts
@@ -77,3 +77,48 @@
 	await sleep(retryMs + keptMs);
 	t.is(await site.statusOf('/book/1', {}, 'b'), 503);
 });
+
+/** A site with one server whose entry is lost in a restore of the store. */
+async function startRestoredSite(t: ExecutionContext): Promise<Site> {
+	const site = createSite(t);
+	const {store} = site;
+	store.era = 1;
+	site.config = plainConfig;
+	const copy = store.copy();
+	await site.addServer('i-0', 'plain', (req, res, body) => {
+		sendAnswer(req, res, body);
+	});
+	await site.start();
+	t.is(await site.statusOf('/book/1', {}, 'b'), 200);
+	// The daemon hears from the store until it goes away, and so finds that it was away only for a moment.
+	for (let count = 0; count < 30; count++) {
+		store.put('evacuations', 'z', {count});
+		await sleep(50);
+	}
+
+	store.forget('servers', 'i-0');
+	store.goAway();
+	await sleep(reportMs / 2);
+	store.restore(copy);
+	t.is(store.specOf('servers', 'i-0'), undefined);
+	return site;
+}
+
+// A server whose entry the copy lacked was out of service until it had registered again.
+test('a server whose entry is lost when the store is restored from a copy is used until it had time to register again', async (t) => {
+	const site = await startRestoredSite(t);
+	for (let count = 0; count < 10; count++) {
+		t.is(await site.statusOf('/book/1', {}, 'b'), 200);
+		await sleep(100);
+	}
+
+	site.registerServer('i-0', 'plain', site.servedPort());
+	await sleep(keptMs + 500);
+	t.is(await site.statusOf('/book/1', {}, 'b'), 200);
+});
+
+test('a server that does not register again after a restore of the store gets no requests late', async (t) => {
+	const site = await startRestoredSite(t);
+	await sleep(retryMs + keptMs);
+	t.is(await site.statusOf('/book/1', {}, 'b'), 503);
+});
