Tell the first era of a store from one that follows another by what it holds

Cause: era 1 was taken for the first by its number alone.

Change: a daemon that has heard of an earlier era, or reads a table or lease that names one, takes no era for the first. Fences start at the era's first wherever the table is of a former era. Answers that say nothing of the store's content (refusals, errors of what lies between) are not placed in an era.

--- a/packages/core/src/gateway/store-era.ts
+++ b/packages/core/src/gateway/store-era.ts
@@ -11,11 +11,16 @@
 const numbersPerEra = 2 ** 40;
 /** All revisions and fencing tokens are below 2 ** 52, and so exact. */
 export const maxEra = 2 ** 12 - 1;
-/** No store has been restored in this era, nor one that does not name eras, which counts as 0. */
+/** A store that has not been restored is in this era, or names none, which counts as 0. */
 export const firstEra = 1;
 
-/** An era of the store, and when this daemon first heard of it. */
-export type StoreEra = {readonly number: number; readonly since: Millis};
+export type StoreEra = {
+	readonly number: number;
+	/** When this daemon first heard of it. */
+	readonly since: Millis;
+	/** Whether no era came before it, as far as is known. */
+	readonly isFirst: boolean;
+};
 
 /** The revision that the store calls `number` in `era`; undefined if it is out of range. */
 export function revisionIn(era: number, number: number): number | undefined {
@@ -43,9 +48,9 @@
 	return era === 0 ? `${revision}` : `${era}.${numberOf(revision)}`;
 }
 
-/** The lowest fencing token of an era: higher than all of former eras, also than those that a copy does not show. */
+/** A fencing token that is higher than all of former eras, also than those that a copy does not show. */
 export function firstFenceOf(era: number): number {
-	return era <= firstEra ? 1 : era * numbersPerEra;
+	return Math.max(1, era * numbersPerEra);
 }
 
 function isCount(value: number, end: number): boolean {
--- a/packages/daemon/src/gateway/keeper-lease.ts
+++ b/packages/daemon/src/gateway/keeper-lease.ts
@@ -9,7 +9,6 @@
  */
 import {
 	eraOf,
-	firstEra,
 	fold,
 	revisionIn,
 	revisionText,
@@ -158,7 +157,7 @@
 	}
 
 	#logRestored(vm: string | undefined): void {
-		if (eraOf(this.#asOf) <= firstEra) {
+		if (this.context.store.era.isFirst) {
 			return;
 		}
 
@@ -226,8 +225,8 @@
 
 	#isFree(now: Millis): boolean {
 		if (!this.#object) {
-			const {number, since} = this.context.store.era;
-			return number <= firstEra || now - since > leaseMs + marginMs;
+			const {isFirst, since} = this.context.store.era;
+			return isFirst || now - since > leaseMs + marginMs;
 		}
 
 		// A former run on this VM has ended and no longer uses its lease.
--- a/packages/daemon/src/gateway/kept-table.ts
+++ b/packages/daemon/src/gateway/kept-table.ts
@@ -9,7 +9,6 @@
  */
 import {
 	eraOf,
-	firstEra,
 	fold,
 	laterTable,
 	revisionIn,
@@ -72,13 +71,16 @@
 		return this.#isWrittenUnderLease && this.#isOfPresentEra;
 	}
 
+	/** Whether the table was last written in a former era of the store. */
+	get isFromFormerEra(): boolean {
+		return this.#object
+			? !this.#isOfPresentEra || !isOfItsEra(this.#object)
+			: !this.context.store.era.isFirst;
+	}
+
 	/** Whether keys may be granted that the table does not show as granted. */
 	get mayLackGrants(): boolean {
-		if (this.#isOwn || this.context.store.era.number <= firstEra) {
-			return false;
-		}
-
-		return !this.#object || !this.#isOfPresentEra || !isOfItsEra(this.#object);
+		return this.isFromFormerEra && !this.#isOwn;
 	}
 
 	/** To be called when this daemon has taken the lease: another one may have changed the table. */
--- a/packages/daemon/src/gateway/key-keeper.ts
+++ b/packages/daemon/src/gateway/key-keeper.ts
@@ -125,7 +125,9 @@
 		const {tenure} = lease;
 		const {ranges} = this.#table.value;
 		const readRevision = this.#table.revision;
-		const lowestFence = firstFenceOf(store.era.number);
+		const lowestFence = this.#table.isFromFormerEra
+			? firstFenceOf(store.era.number)
+			: 1;
 		const table = withNewFences(this.#table.value, lowestFence);
 		const written = await this.#table.write(table);
 		if (!written || !lease.isHeld || lease.tenure !== tenure) {
--- a/packages/daemon/test/memory-store.ts
+++ b/packages/daemon/test/memory-store.ts
@@ -1,6 +1,7 @@
 /** The platform's store in memory, as seen by one run of a daemon. It can be restored from a copy. */
 import {
 	eraOf,
+	firstEra,
 	numberOf,
 	revisionIn,
 	type Millis,
@@ -42,7 +43,7 @@
 	#eraNumber = 0;
 	#lastNumber = 1;
 	/** The newest era that an answer named to this run. */
-	#heard: StoreEra = {number: 0, since: -Infinity};
+	#heard: StoreEra | undefined;
 
 	constructor(
 		private readonly vm: string,
@@ -54,14 +55,15 @@
 	}
 
 	override get era(): StoreEra {
-		return this.#heard;
+		return this.#heard ?? {number: 0, since: -Infinity, isFirst: true};
 	}
 
 	/** Records that this run has had an answer of the store. */
 	hear(): void {
 		const number = (this.shared ?? this).#eraNumber;
-		if (number > this.#heard.number) {
-			this.#heard = {number, since: this.clock.now()};
+		if (number > (this.#heard?.number ?? -1)) {
+			const isFirst = number <= firstEra && !this.#heard;
+			this.#heard = {number, since: this.clock.now(), isFirst};
 		}
 	}
 
@@ -109,7 +111,7 @@
 
 		if (
 			write.revision !== undefined &&
-			eraOf(write.revision) < this.#heard.number
+			eraOf(write.revision) < this.era.number
 		) {
 			return objectStore.#conflictOf(write);
 		}
--- a/packages/daemon/test/restored-store.test.ts
+++ b/packages/daemon/test/restored-store.test.ts
@@ -172,6 +172,25 @@
 	t.is(keeperIndex(fleet), 1 - index);
 });
 
+// A store may name no era before its first restore.
+test('no fence is used again, and no key has two holders, after the first era that a store names', async (t) => {
+	const fleet = startFleet(['x', 'y'], ['a', 'b']);
+	const {shared, cut, pass, daemons} = fleet;
+	const copy = await joinAfterCopy(fleet);
+	cutAll(fleet);
+	for (const {clock} of daemons) {
+		clock.end();
+	}
+
+	shared.restore(copy);
+	cut.clear();
+	fleet.add('w');
+	await pass(recoverMs, () => {
+		checkHolders(t, fleet);
+	});
+	t.true(isAllHeld(fleet));
+});
+
 type Chance = SeededRandom;
 
 /** One to three drills beside other troubles, all by chance. */
--- a/packages/platform/src/http-object-store.ts
+++ b/packages/platform/src/http-object-store.ts
@@ -43,6 +43,8 @@
 /** Eight times the longest page, since the changes that a watch returns are not divided into pages. */
 const maxAnswerLen = 8_388_608;
 const maxMessageLen = 200;
+/** Errors that say what the store holds, and so belong to an era. */
+const contentErrors: ReadonlySet<number> = new Set([404, 409, 410]);
 /** With these the store has done nothing. */
 const refusals: ReadonlySet<number> = new Set([400, 429, 503]);
 const staleQuery: Readonly<Record<string, string>> = {staleOk: '1'};
@@ -266,10 +268,12 @@
 			});
 			const text = await res.body.text();
 			const {statusCode: status, headers} = res;
-			return this.#eras
-				.read(headers[eraField])
-				.mapLeft(({message}) => eraError(call, status, message))
-				.chain((era) => readAnswer(call, {status, text, era}, parse));
+			return status < 300 || contentErrors.has(status)
+				? this.#eras
+						.read(headers[eraField])
+						.mapLeft(({message}) => eraError(call, status, message))
+						.chain((era) => readAnswer(call, {status, text, era}, parse))
+				: Left(failureOf(call, status, text));
 		} catch (error) {
 			const {message} = error as Error;
 			return Left({kind: 'unknown', message: `${method} ${path}: ${message}`});
@@ -317,10 +321,10 @@
 	return object;
 }
 
-/** An answer that can't be placed in an era, or is of a former one. A refusal says that nothing was done whatever its era. */
+/** The answer can't be placed in an era, or is of a former one. */
 function eraError(call: Call, status: number, fault: string): ObjectError {
 	const message = `${call.method} ${call.path}: status ${status}: ${fault}`;
-	return {kind: refusals.has(status) ? 'refused' : 'unknown', message};
+	return {kind: 'unknown', message};
 }
 
 function pathOf(
@@ -336,8 +340,8 @@
 	return search === '' ? path : `${path}?${search}`;
 }
 
+/** What an error says of the store's content. */
 function errorOfStatus(call: Call, {status, text, era}: Answer): ObjectError {
-	const message = `${call.method} ${call.path}: status ${status}: ${text.slice(0, maxMessageLen)}`;
 	switch (status) {
 		case 404: {
 			return {kind: 'missing'};
@@ -352,12 +356,16 @@
 		}
 
 		default: {
-			const kind = refusals.has(status) ? 'refused' : 'unknown';
-			return {kind, message};
+			return failureOf(call, status, text);
 		}
 	}
 }
 
+function failureOf(call: Call, status: number, text: string): ObjectError {
+	const message = `${call.method} ${call.path}: status ${status}: ${text.slice(0, maxMessageLen)}`;
+	return {kind: refusals.has(status) ? 'refused' : 'unknown', message};
+}
+
 function tryParseJson(text: string): unknown {
 	try {
 		return JSON.parse(text);
--- a/packages/platform/src/object-store.ts
+++ b/packages/platform/src/object-store.ts
@@ -52,7 +52,7 @@
 	readonly spec: unknown;
 };
 
-const unnamedEra: StoreEra = {number: 0, since: -Infinity};
+const unnamedEra: StoreEra = {number: 0, since: -Infinity, isFirst: true};
 
 /**
  * Client of the store. Every call ends within a bounded time, whatever the store does. No
--- a/packages/platform/src/range-table-document.ts
+++ b/packages/platform/src/range-table-document.ts
@@ -121,10 +121,11 @@
 	return {...spec, era};
 }
 
-/** Whether the table or lease was written in the era in which it was read, not in one before it. */
+/** Whether the table or lease was written in the era in which it was read, not in one before it. Without an era it was written before tables and leases named one. */
 export function isOfItsEra({spec, revision}: StoredObject): boolean {
 	const era = eraOf(revision);
-	return era <= firstEra || eraStamp.safeParse(spec).data?.era === era;
+	const written = eraStamp.safeParse(spec).data?.era;
+	return written === undefined ? era <= firstEra : written === era;
 }
 
 export function parseKeeper(spec: unknown): Validated<Keeper> {
--- a/packages/platform/src/store-eras.ts
+++ b/packages/platform/src/store-eras.ts
@@ -4,12 +4,7 @@
  * arrives after one of a later era tells nothing of the present. A store that names no eras
  * is in era 0 throughout; once it has named one, an answer that names none can't be placed.
  */
-import {
-	maxEra,
-	type Clock,
-	type Millis,
-	type StoreEra,
-} from '@kingcuproute/core';
+import {firstEra, maxEra, type Clock, type StoreEra} from '@kingcuproute/core';
 import {Left, Right, type Either} from 'purify-ts';
 
 export const eraField = 'store-era';
@@ -18,8 +13,8 @@
 export type EraFault = {readonly message: string};
 
 export class StoreEras {
-	#number = 0;
-	#since: Millis = -Infinity;
+	#newest: StoreEra = {number: 0, since: -Infinity, isFirst: true};
+	#isHeard = false;
 
 	/** `onRise` is called when an answer names a later era than any before it. */
 	constructor(
@@ -29,7 +24,7 @@
 
 	/** The newest era that an answer named; era 0 before the first. */
 	get newest(): StoreEra {
-		return {number: this.#number, since: this.#since};
+		return this.#newest;
 	}
 
 	/** The era of an answer with this header field. */
@@ -41,17 +36,18 @@
 			return Left({message: `Store-Era ${JSON.stringify(field)} is no era`});
 		}
 
-		if (number < this.#number) {
+		if (number < this.#newest.number) {
 			const named = field === undefined ? 'no era' : `era ${number}`;
-			return Left({message: `${named} after era ${this.#number}`});
+			return Left({message: `${named} after era ${this.#newest.number}`});
 		}
 
-		if (number > this.#number) {
-			this.#number = number;
-			this.#since = this.clock.now();
+		if (number > this.#newest.number) {
+			const isFirst = number <= firstEra && !this.#isHeard;
+			this.#newest = {number, since: this.clock.now(), isFirst};
 			this.onRise();
 		}
 
+		this.#isHeard = true;
 		return Right(number);
 	}
 }
