--- a/spec/check.sh
+++ b/spec/check.sh
@@ -64,10 +64,10 @@
 	[ "$wrong" = ORDERSON ] && feature=HANDOVERS
 	check 1 "wrong-unfenced-${wrong%=0}" unfenced -DSAFETY '' "-D$wrong" "-D$feature"
 done
-for wrong in MARGIN=0 NOFENCE UNKNOWN REFUSED TRUSTS NOLAPSE UNWRITTEN FORGETS; do
+for wrong in MARGIN=0 NOFENCE UNKNOWN REFUSED TRUSTS NOLAPSE UNWRITTEN FORGETS HASTY REUSES; do
 	check 1 "wrong-keeper-${wrong%=0}" keeper -DSAFETY '' "-D$wrong"
 done
-for wrong in MARGIN=0 LANDED BLIND KEEPS; do
+for wrong in MARGIN=0 LANDED BLIND KEEPS COPIED; do
 	check 1 "wrong-keeper-lease-${wrong%=0}" keeper-lease -DSAFETY '' "-D$wrong"
 done
 
--- a/spec/keeper.pml
+++ b/spec/keeper.pml
@@ -10,6 +10,11 @@
    The table's writing lands at any time while the table is as it was, and its answer may be
    lost. A server may end, and another one answers at its address from then on.
 
+   The store may be restored from a copy: the table is then as it was at some time before, and
+   bears the mark of a former era. A keeper that goes on writes its own table again. One that
+   follows grants nothing until no lease by a former one can last, whoever it went to. The fences
+   of an era are above all of former eras.
+
    Variants that must fail:
      -DMARGIN=0  no margin for servers with slow clocks
      -DNOFENCE   a keeper that follows keeps the fence of the keys, and reckons with no grant
@@ -19,7 +24,9 @@
      -DTRUSTS    a release is trusted while a grant by the fence last taken has no answer
      -DNOLAPSE   keys of a server that does not answer are not waited for
      -DUNWRITTEN a keeper that follows does not write the table before it orders
-     -DFORGETS   a keeper that follows does not wait for leases by the former one */
+     -DFORGETS   a keeper that follows does not wait for leases by the former one
+     -DHASTY     a keeper that follows trusts the table of a former era to show all leases
+     -DREUSES    fences go on from the table of a former era */
 
 #ifndef MARGIN
 #define MARGIN 1
@@ -33,6 +40,9 @@
 #define LEASE 1
 #endif
 #define SLOTS 3  /* grants under way at once */
+#ifndef RESTORES
+#define RESTORES 1
+#endif
 
 /* How long a lease can last at the server, and how long the keeper waits for its end. */
 #define LEASELIFE (LEASE + DRIFT)
@@ -46,6 +56,10 @@
 /* The table: one object, changed by conditional update. */
 byte tOwner;
 byte tFence = 1;
+bool tOld;          /* of a former era */
+byte highest = 1;   /* the highest fence that a table has ever had */
+byte base;          /* the lowest fence of the present era */
+byte restores;
 
 /* Grants under way; no life left marks a free slot. */
 byte netLeft[SLOTS];
@@ -59,6 +73,7 @@
 mtype phase = TAKES;
 byte kOwner;
 byte kFence = 1;
+byte others;  /* left until no lease by former keepers can last */
 
 /* Its ledger of the grants of the keys at their owner. */
 bool asked;     /* one waits for its answer */
@@ -80,7 +95,7 @@
 #define hasSlot (netLeft[2] == 0)
 #define lower(n) n = (n > 0 -> n - 1 : 0)
 #define max(a, b) ((a) > (b) -> (a) : (b))
-#define isFresh (kOwner == tOwner && kFence == tFence)
+#define isFresh (!tOld && kOwner == tOwner && kFence == tFence)
 
 #ifdef TRUSTS
 #define isFinal (openLeft == 0 || openFence <= taken)
@@ -101,7 +116,16 @@
 #define UNKNOWN
 #define fenceAfter(f) (f)
 #else
+#ifdef REUSES
 #define fenceAfter(f) ((f) + 1)
+#else
+#define fenceAfter(f) max((f) + 1, base)
+#endif
+#endif
+#ifdef HASTY
+#define mayTakeOver true
+#else
+#define mayTakeOver (!tOld || others == 0)
 #endif
 
 /* The slots stay in the order of sending. */
@@ -169,6 +193,21 @@
   fi
 }
 
+/* The table, owner and fence of which are set, is written in the present era. */
+inline save() {
+  tOld = false;
+  highest = max(highest, tFence);
+  former = 0
+}
+
+/* The table is as some writing before left it. */
+inline restore(owner) {
+  tOwner = owner; tFence = 1; tOld = true;
+  base = highest + 1;
+  former = 0;
+  restores++
+}
+
 /* All grants that former keepers sent may be carried out still. */
 inline assume() {
 #ifndef UNKNOWN
@@ -220,6 +259,7 @@
        lower(left[0]);
        lower(left[1]);
        lower(over);
+       lower(others);
        lower(openLeft);
        openFence = (openLeft == 0 -> 0 : openFence) }
   od
@@ -247,6 +287,14 @@
   od
 }
 
+proctype Store() {
+end:
+  do
+  :: d_step { restores < RESTORES && highest + 1 < MAXFENCE -> restore(0) }
+  :: d_step { restores < RESTORES && highest + 1 < MAXFENCE -> restore(1) }
+  od
+}
+
 proctype Keeper() {
 end:
   do
@@ -256,12 +304,11 @@
        assume();
        read() }
 #else
-  :: d_step { phase == TAKES && tFence < MAXFENCE ->
+  :: d_step { phase == TAKES && mayTakeOver && highest < MAXFENCE ->
        assume();
-       tFence = fenceAfter(tFence);
-       former = 0;
+       tFence = fenceAfter(tFence); save();
        read() }
-  :: d_step { phase == TAKES && tFence < MAXFENCE -> tFence = fenceAfter(tFence); former = 0 }
+  :: d_step { phase == TAKES && mayTakeOver && highest < MAXFENCE -> tFence = fenceAfter(tFence); save() }
 #endif
 
   /* Grants, first or again. */
@@ -269,7 +316,7 @@
   :: d_step { asked -> giveUp() }
 
   /* Moves the keys to the other server. */
-  :: d_step { phase == KEEPS && !asked && !gone[other(kOwner)] && kFence < MAXFENCE ->
+  :: d_step { phase == KEEPS && !asked && !gone[other(kOwner)] && highest < MAXFENCE ->
        phase = RELEASES; release = SENT }
   :: d_step { phase == RELEASES && release == DONE ->
        phase = (isFinal -> WRITES : WAITS); release = NONE }
@@ -278,29 +325,38 @@
   :: d_step { phase == WAITS && isOver -> phase = WRITES }
 
   /* Its writing lands with an answer, */
-  :: d_step { phase == WRITES && isFresh ->
-       tOwner = other(tOwner); tFence = tFence + 1; former = 0;
+  :: d_step { phase == WRITES && isFresh && highest < MAXFENCE ->
+       tOwner = other(tOwner); tFence = tFence + 1; save();
        forget();
        read() }
   /* or without one; it hears of the table's change, whoever made it. */
-  :: d_step { phase == WRITES && isFresh -> tOwner = other(tOwner); tFence = tFence + 1; former = 0 }
-  :: d_step { phase != TAKES && !isFresh ->
+  :: d_step { phase == WRITES && isFresh && highest < MAXFENCE -> tOwner = other(tOwner); tFence = tFence + 1; save() }
+  :: d_step { phase != TAKES && !isFresh && !tOld ->
        forget();
        read() }
+  /* It hears of a restore, and goes on from its own table. Grants by its fence may have no answer. */
+  :: d_step { phase != TAKES && tOld && highest < MAXFENCE ->
+       openFence = max(kFence, openFence); openLeft = OVERWAIT; over = OVERWAIT;
+       unask();
+       release = NONE;
+       tOwner = kOwner; tFence = fenceAfter(kFence); save();
+       read() }
 
   /* A former one's writing lands, as the table is as it knew it, or never. */
-  :: d_step { former == MOVE && tFence < MAXFENCE -> tOwner = other(tOwner); tFence = tFence + 1; former = 0 }
-  :: d_step { former == TAKEOVER && tFence < MAXFENCE -> tFence = fenceAfter(tFence); former = 0 }
+  :: d_step { former == MOVE && highest < MAXFENCE -> tOwner = other(tOwner); tFence = tFence + 1; save() }
+  :: d_step { former == TAKEOVER && highest < MAXFENCE -> tFence = fenceAfter(tFence); save() }
 
   /* Is followed by another one. */
   :: d_step { phase != TAKES || former == 0 ->
-       former = (phase == TAKES -> TAKEOVER : (phase == WRITES && isFresh -> MOVE : former));
+       former = (phase == TAKES ->
+         (mayTakeOver -> TAKEOVER : 0) : (phase == WRITES && isFresh -> MOVE : former));
        forget();
        kOwner = 0; kFence = 0;
+       others = OVERWAIT;
        phase = TAKES }
   od
 }
 
 init {
-  atomic { run Time(); run Servers(); run Keeper() }
+  atomic { run Time(); run Servers(); run Store(); run Keeper() }
 }
