Read what is followed slowly at once when the store has entered a later era

Cause: other daemons list leases each 5 to 7.5 s, count the time of a lease from that list on, and then wait 8 s longer than standbys. A daemon that reads through a watcher heard of the era only by then.

Evidence: kind-follower 'a kind followed slowly is listed at once ...', red without the change.

--- a/packages/daemon/src/gateway/kind-follower.ts
+++ b/packages/daemon/src/gateway/kind-follower.ts
@@ -5,6 +5,7 @@
  * calls check in between whether it has missed a change.
  */
 import {
+	eraOf,
 	fold,
 	revisionText,
 	type CheckPace,
@@ -171,14 +172,15 @@
 		}
 	}
 
-	/** Waits until the next slow list is due, or `slow` is switched off. */
+	/** Waits until the next slow list is due, `slow` is switched off, or the objects are known to be of a former era. */
 	async #untilNextList(): Promise<void> {
-		const {clock, random} = this.context;
+		const {clock, random, store} = this.context;
 		const until = clock.now() + random.jitter(slowListMs);
 		while (
 			this.slow &&
 			!this.#stopped &&
 			!this.#wantsRefresh &&
+			eraOf(this.#revision ?? 0) >= store.era.number &&
 			clock.now() < until
 		) {
 			await clock.sleep(paceCheckMs);
--- a/packages/daemon/src/gateway/relayed-store.ts
+++ b/packages/daemon/src/gateway/relayed-store.ts
@@ -5,6 +5,7 @@
  * store by itself puts on it. Turns to the store at different moments in each daemon.
  */
 import {
+	eraOf,
 	KindPosition,
 	type Clock,
 	type Millis,
@@ -59,6 +60,7 @@
 	/** Whether the store is read because no peer is fit. */
 	#isFallback = false;
 	#nextAwayCallAt: Millis = -Infinity;
+	#isHearingEra = false;
 	/** Ends the long polls to the store when there are peers again. */
 	readonly #endPolls = new Set<() => void>();
 
@@ -108,7 +110,7 @@
 				this.#of(kind).offer(outcome.revision, outcome.contentRevision)
 			) {
 				const {changes, confirmedAt} = outcome;
-				this.#recordPeerRead(kind);
+				this.#recordPeerRead(kind, outcome.revision);
 				return Right<ObjectListing>({
 					revision: Math.max(this.#of(kind).reached, outcome.revision),
 					objects: changes.map(({object}) => object),
@@ -155,7 +157,7 @@
 					return Right({revision, changes: [], relay: unconfirmed});
 				}
 
-				this.#recordPeerRead(kind);
+				this.#recordPeerRead(kind, outcome.revision);
 				return Right({
 					revision: Math.max(revision, outcome.revision),
 					changes,
@@ -282,7 +284,17 @@
 		return Left(storeAway);
 	}
 
-	#recordPeerRead(kind: string): void {
+	/** Lets the store itself tell this daemon its era, if a peer has heard of a later one: kinds that are read rarely are then read at once. */
+	async #hearEra(kind: string, revision: number): Promise<void> {
+		if (eraOf(revision) > this.era.number && !this.#isHearingEra) {
+			this.#isHearingEra = true;
+			await this.context.store.watch(kind, revision, 0, true);
+			this.#isHearingEra = false;
+		}
+	}
+
+	#recordPeerRead(kind: string, revision: number): void {
+		void this.#hearEra(kind, revision);
 		this.#relayedKinds.add(kind);
 		this.#isFallback = false;
 		this.context.metrics.readFrom('peer');
--- a/packages/daemon/test/kind-follower.test.ts
+++ b/packages/daemon/test/kind-follower.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {CheckPace, SeededRandom} from '@kingcuproute/core';
+import {CheckPace, revisionIn, SeededRandom} from '@kingcuproute/core';
 import {
 	ObjectStore,
 	type ObjectError,
@@ -32,11 +32,16 @@
 	/** Whether answers to watches cannot be parsed. */
 	watchesUnreadable = false;
 	unreadable: readonly string[] = [];
+	eraNumber = 0;
 
 	constructor(private readonly manualClock: ManualClock) {
 		super();
 	}
 
+	override get era() {
+		return {number: this.eraNumber, since: 0, isFirst: false};
+	}
+
 	get revision(): number {
 		return Math.max(...this.held.map(({revision}) => revision));
 	}
@@ -271,6 +276,21 @@
 	follower.stop();
 });
 
+// Daemons that are not standbys read the keeper's lease up to 8 s after a restore, and took it too late.
+test('a kind followed slowly is listed at once when the store has entered a later era', async (t) => {
+	const {clock, store, follower} = followerOfFakeStore();
+	follower.slow = true;
+	follower.start();
+	await clock.advance(100);
+	store.calls.length = 0;
+	store.eraNumber = 2;
+	store.held = [storedObject('b', revisionIn(2, 1)!)];
+	await clock.advance(600);
+	t.deepEqual([...follower.objects.value!.keys()], ['b']);
+	t.deepEqual(store.calls, ['stale list']);
+	follower.stop();
+});
+
 test('an outdated list does not replace newer objects', async (t) => {
 	const {clock, store, follower} = followerOfFakeStore();
 	store.held = [storedObject('a', 5)];
--- a/packages/daemon/test/restored-store.test.ts
+++ b/packages/daemon/test/restored-store.test.ts
@@ -101,6 +101,25 @@
 	}
 });
 
+// Daemons that are not standbys wait longer before they take a lease.
+test('keys have holders again in time after the keeper and all standbys are lost with a restore', async (t) => {
+	const fleet = startFleet(['x', 'y'], ['a', 'b'], 1);
+	const {shared, cut, pass, daemons} = fleet;
+	const copy = await joinAfterCopy(fleet);
+	cutAll(fleet);
+	daemons[keeperIndex(fleet)].clock.end();
+	for (const {lease} of daemons) {
+		lease.isUpdatedSlowly = true;
+	}
+
+	shared.restore(copy);
+	cut.clear();
+	await pass(recoverMs, () => {
+		checkHolders(t, fleet);
+	});
+	t.true(isAllHeld(fleet));
+});
+
 // The copy names the keeper before the last one, which took the lease for its own.
 test('a lease in the copy does not make its former holder the keeper', async (t) => {
 	for (const restarts of [false, true]) {
--- a/packages/fakes/test/gateway-fleet.ts
+++ b/packages/fakes/test/gateway-fleet.ts
@@ -65,6 +65,11 @@
 		this.#child!.signal(name);
 	}
 
+	/** Stops the daemon as planned; resolves when its process has ended. */
+	async terminate(): Promise<void> {
+		await this.#child?.end('SIGTERM');
+	}
+
 	async kill(): Promise<void> {
 		await this.#child?.end('SIGKILL');
 	}
--- a/packages/fakes/test/gateway-restore.test.ts
+++ b/packages/fakes/test/gateway-restore.test.ts
@@ -150,6 +150,45 @@
 	await checkRecovery(t, drill, drill.fleet.daemons, restoredAt);
 });
 
+// The watcher hears of the restore seconds after the daemons that read from it.
+test('keys are served again after a restore that a watcher has slept through', async (t) => {
+	const drill = await startDrill(t, ['a', 'a', 'a', 'a']);
+	const [watcher] = drill.fleet.daemons;
+	const copy = await joinAfterCopy(drill, 'k-4');
+	watcher.signal('SIGSTOP');
+	drill.fleet.store.restore(copy);
+	const restoredAt = performance.now();
+	await sleep(4000);
+	watcher.signal('SIGCONT');
+	await checkRecovery(t, drill, drill.fleet.daemons, restoredAt);
+});
+
+// The keeper changes with each daemon that stops.
+test('keys are served again after a restore during a rolling restart', async (t) => {
+	const drill = await startDrill(t);
+	const {fleet} = drill;
+	const former = [...fleet.daemons];
+	const restart = async (daemon: FleetDaemon) => {
+		await daemon.terminate();
+		await fleet.addDaemon(daemon.failureDomain);
+	};
+
+	const copy = fleet.store.copy();
+	await drill.servers.add('k-4');
+	await until(async () => drill.servers.isAllHeld('k-4'));
+	const restarting = restart(former[0]);
+	await sleep(copyAgeMs);
+	fleet.store.goAway();
+	await sleep(awayMs);
+	fleet.store.restore(copy);
+	await restarting;
+	await restart(former[1]);
+	await restart(former[2]);
+	const restartedAt = performance.now();
+	const daemons = fleet.daemons.filter((daemon) => !former.includes(daemon));
+	await checkRecovery(t, drill, daemons, restartedAt);
+});
+
 // Daemons went on from a revision that the restored store gave out again, and heard of no change before it.
 test('a configuration that is written to a restored store is in force in time, also through a watcher', async (t) => {
 	const {fleet} = await startDrill(t, ['a', 'a', 'a', 'a']);
