Expire a watch whose answer is of another era than its revision, whichever is later

Cause: a reading that a peer gave with a wrong, later era would have taken the store's own changes as older ones; by reading, not seen. Test: object-store 'a watch from a revision of an era that the store is not in is expired'. The era of a call was kept in a field that nothing read; removed.

--- a/packages/fakes/test/object-store.test.ts
+++ b/packages/fakes/test/object-store.test.ts
@@ -1,5 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
+import {revisionIn} from '@kingcuproute/core';
 import {HttpObjectStore, SystemClock} from '@kingcuproute/platform';
 import {Left, Right} from 'purify-ts';
 import {StandInStore} from '../src/platform/stand-in-store.js';
@@ -243,3 +244,13 @@
 	t.deepEqual(await watching, Left({kind: 'expired'}));
 	t.true(performance.now() - sentAt < 5000);
 });
+
+// A peer may have told a revision that the store never gave out.
+test('a watch from a revision of an era that the store is not in is expired', async (t) => {
+	const {standIn, store} = await startStore(t);
+	standIn.era = 1;
+	standIn.put('k', 'n', 1);
+	const revision = revisionIn(3, 1)!;
+	t.deepEqual(await store.watch('k', revision, 0), Left({kind: 'expired'}));
+	t.is(store.era.number, 1);
+});
--- a/packages/platform/src/http-object-store.ts
+++ b/packages/platform/src/http-object-store.ts
@@ -56,8 +56,6 @@
 	readonly timeoutMs?: Millis;
 	/** Whether the store may wait before it answers. */
 	readonly isPoll?: boolean;
-	/** The era of the revision from which the call goes on, if it does. */
-	readonly era?: number;
 };
 
 type Answer = {
@@ -163,10 +161,12 @@
 			path: pathOf(kind, undefined, query),
 			timeoutMs: waitMs + watchSlackMs,
 			isPoll: waitMs > 0,
-			era,
 		};
 		const changes = await this.#call(call, parseChanges);
-		return era < this.era.number ? Left({kind: 'expired'}) : changes;
+		const isOfOtherEra = changes
+			.map(({revision: reached}) => eraOf(reached) !== era)
+			.orDefault(era < this.era.number);
+		return isOfOtherEra ? Left({kind: 'expired'}) : changes;
 	}
 
 	override async write({
--- a/packages/platform/src/object-store.ts
+++ b/packages/platform/src/object-store.ts
@@ -76,7 +76,7 @@
 	/**
 	 * Resolves with the changes after `revision` as soon as there are any, or with none
 	 * after `waitMs`. With `stale`, it may miss changes of the last seconds and costs as
-	 * little as such a list. A revision of a former era is expired.
+	 * little as such a list. A revision of another era is expired.
 	 */
 	abstract watch(
 		kind: string,
