--- a/packages/daemon/src/gateway/keeper-lease.ts
+++ b/packages/daemon/src/gateway/keeper-lease.ts
@@ -63,7 +63,6 @@
 	#formerOrdersEndedAt: Millis = -Infinity;
 	/** The newest beat of this daemon. */
 	#lastBeat: Beat = {beat: 0, at: -Infinity, formerLeaseEndsAt: -Infinity};
-
 	#writing = false;
 	#wallOffset: Millis;
 
--- a/packages/daemon/src/gateway/kept-table.ts
+++ b/packages/daemon/src/gateway/kept-table.ts
@@ -39,7 +39,7 @@
 export class KeptTable {
 	/** Whether it was written under the lease held now. After that no earlier write can succeed. */
 	#isWrittenUnderLease = false;
-	/** Whether all changes since the lease was taken are this daemon's, whatever the store shows. */
+	/** Whether this daemon has written the table under the lease held now, in whichever era: it then knows of all grants, whatever the store shows. */
 	#isOwn = false;
 	#object: StoredObject | undefined;
 	/** The revision as of which the object, or that there is none, is known. */
