Do not wait for grants of a former era once they can't last, where a service has no table

What callers saw: nothing yet; a service that is new to a store restored long before had its keys unserved for 6.4 s.

Cause: where there is no table, the wait counted from when the lease was taken. Grants that a missing table lacks are of a former era, since a keeper writes the table before it grants; they end 10 s after the era was heard of.

--- a/packages/daemon/src/gateway/keeper-lease.ts
+++ b/packages/daemon/src/gateway/keeper-lease.ts
@@ -87,6 +87,11 @@
 		return this.#formerOrdersEndedAt;
 	}
 
+	/** By when every daemon that held the lease in a former era of the store, and knows of no later one, has stopped sending orders. */
+	get formerEraEndedAt(): Millis {
+		return this.context.store.era.since + leaseMs + marginMs;
+	}
+
 	/** Number of times this daemon has taken the lease; between two of them another daemon may have held it. */
 	get tenure(): number {
 		return this.#tenure;
@@ -224,8 +229,7 @@
 
 	#isFree(now: Millis): boolean {
 		if (!this.#object) {
-			const {isFirst, since} = this.context.store.era;
-			return isFirst || now - since > leaseMs + marginMs;
+			return this.context.store.era.isFirst || now > this.formerEraEndedAt;
 		}
 
 		// A former run on this VM has ended and no longer uses its lease.
--- a/packages/daemon/src/gateway/key-keeper.ts
+++ b/packages/daemon/src/gateway/key-keeper.ts
@@ -146,8 +146,9 @@
 	}
 
 	/**
-	 * Whether servers that the table does not name may still hold keys by grants of a former
-	 * keeper.
+	 * Whether servers that the table does not name may still hold keys by grants of former
+	 * keepers. Where there is no table, these are of a former era, since a keeper writes the
+	 * table before it grants.
 	 */
 	#mustWait(): boolean {
 		const {clock, lease, log, service} = this.context;
@@ -155,7 +156,11 @@
 			return false;
 		}
 
-		const until = lease.formerOrdersEndedAt + maxLeaseMs;
+		const endedAt =
+			this.#table.revision === undefined
+				? Math.min(lease.formerEraEndedAt, lease.formerOrdersEndedAt)
+				: lease.formerOrdersEndedAt;
+		const until = endedAt + maxLeaseMs;
 		const forMs = Math.round(until - clock.now());
 		if (forMs > 0 && this.#waitsUntil !== until) {
 			this.#waitsUntil = until;
--- a/packages/daemon/test/gateway-keepers.ts
+++ b/packages/daemon/test/gateway-keepers.ts
@@ -327,10 +327,18 @@
 	let servers = names.map((name) => listedServer(name));
 	let listed = servers;
 	let traffic: KeyTraffic = {rates: new Map(), runMs: new Map()};
-	const startDaemon = (vm: string) => {
-		const clock = new RunClock(manualClock);
+	/** The store as seen by a daemon that hears from it now for the first time. */
+	const connect = (vm: string, clock: RunClock) => {
 		const store = new MemoryStore(vm, clock, shared);
 		store.hear();
+		return store;
+	};
+
+	const startDaemon = (
+		vm: string,
+		clock = new RunClock(manualClock),
+		store = connect(vm, clock),
+	) => {
 		const lease = new KeeperLease('s', vm, {store, clock, log});
 		const keeper = new KeyKeeper({
 			service: 's',
@@ -400,6 +408,13 @@
 		add(vm: string) {
 			daemons.push(startDaemon(vm));
 		},
+		/** Starts a daemon on one more VM that learns of the service only after `ms`. */
+		async addLater(vm: string, ms: Millis) {
+			const clock = new RunClock(manualClock);
+			const store = connect(vm, clock);
+			await manualClock.advance(ms);
+			daemons.push(startDaemon(vm, clock, store));
+		},
 		/** Ends a daemon's run and starts a new one on the same VM. */
 		restart(index: number) {
 			const {vm, clock} = daemons[index];
--- a/packages/daemon/test/restored-store.test.ts
+++ b/packages/daemon/test/restored-store.test.ts
@@ -171,6 +171,16 @@
 	}
 });
 
+// Nothing of a former era can still hold keys of it.
+test('a service that is new to a store restored long before gets its keys held at once', async (t) => {
+	const fleet = startFleet([], ['a', 'b'], 3);
+	await fleet.addLater('x', 12_000);
+	await fleet.pass(1000, () => {
+		checkHolders(t, fleet);
+	});
+	t.true(isAllHeld(fleet));
+});
+
 // A beat that the restored store takes by the number of its revision says nothing of the present era.
 test('a beat that was sent before the restore and lands after it gives no lease', async (t) => {
 	const fleet = startFleet(['x', 'y'], ['a', 'b'], 1);
