Log how old readings of the store are, late starts of requests, and delays of the event loop

config-in-force and server-leaving say how long ago the store confirmed this reading and the one before, and whether it came from a peer; request-started-late says how long a request waited for its connection; loop-delayed says how long the process did not get to run. No logic is changed.

--- a/packages/daemon/src/gateway/gateway-attempt.ts
+++ b/packages/daemon/src/gateway/gateway-attempt.ts
@@ -26,6 +26,8 @@
 /** Bodies and answers up to this many bytes are held whole: several times the longest uploads of today's sites. */
 export const holdLen = 1_048_576;
 const answerIdleMs: Millis = 10_000;
+/** Opening a connection takes far less. */
+const lateStartMs: Millis = 250;
 
 /** Headers that each attempt sets itself. */
 const ownHeaders: ReadonlySet<string> = new Set([
@@ -110,6 +112,7 @@
 		this.#attempt.send(dispatcher);
 		this.#countMoved(this.plan.bodyLen);
 		const end = await this.#attempt.ended;
+		this.#logLateStart(this.#attempt);
 		picks.loads.ended(backendServer, sendOutcome(end), clock.now());
 		if (end.kind === 'answered' && this.#load) {
 			const {latencyMs} = this.#attempt;
@@ -146,6 +149,21 @@
 		return end;
 	}
 
+	/** Requests that waited long for a connection went by a choice of that age. */
+	#logLateStart({startMs}: Attempt): void {
+		if (startMs >= lateStartMs) {
+			const {id, server, number} = this.plan;
+			const {backendServer} = server;
+			const waitedMs = Math.round(startMs);
+			this.context.log.routing('request-started-late', {
+				id,
+				backendServer,
+				number,
+				waitedMs,
+			});
+		}
+	}
+
 	#createAttempt(leftMs: Millis): Attempt {
 		const {connections, clock} = this.context;
 		const {req, res} = this.caller;
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -21,6 +21,7 @@
 import {container} from 'tsyringe';
 import {Log} from '../log/log.js';
 import {logUnexpectedErrors} from '../log/unexpected-errors.js';
+import {LoopDelay} from '../task/loop-delay.js';
 import {CustomerQuotas} from './customer-quotas.js';
 import {type FleetReports} from './fleet-reports.js';
 import {GatewayEntryTask} from './gateway-entry-task.js';
@@ -44,6 +45,7 @@
 	readonly #relay: RelayTask;
 	readonly #quotas: CustomerQuotas;
 	readonly #log: Log;
+	readonly #loopDelay: LoopDelay;
 
 	constructor(private readonly deployment: Deployment) {
 		const child = container.createChildContainer();
@@ -94,6 +96,7 @@
 		this.#keepers = child.resolve(KeepersTask);
 		this.#traffic = child.resolve(TrafficTask);
 		this.#relay = child.resolve(RelayTask);
+		this.#loopDelay = LoopDelay.watch(clock, this.#log);
 		this.#log.info('starting', {failureDomain});
 	}
 
@@ -134,6 +137,7 @@
 		await this.#quotas.stop();
 		await this.#view.stop();
 		await this.#relay.stop();
+		this.#loopDelay.stop();
 		this.#log.info('stopped');
 	}
 }
--- a/packages/daemon/src/gateway/kind-follower.ts
+++ b/packages/daemon/src/gateway/kind-follower.ts
@@ -46,6 +46,14 @@
 
 type ChangeList = Either<ObjectError, ObjectChanges>;
 
+/** How a copy of the objects was read, for the log. */
+export type Reading = {
+	/** When the store confirmed this copy, and when it last confirmed the one before; -Infinity if it has not. */
+	readonly confirmedAt: Millis;
+	readonly formerAt: Millis;
+	readonly byPeer: boolean;
+};
+
 export type FollowerContext = {
 	readonly store: ObjectStore;
 	readonly clock: Clock;
@@ -69,6 +77,12 @@
 	#hadChanges = false;
 	#lastFailureAt: Millis = -Infinity;
 	#lastSuccessAt: Millis = -Infinity;
+	#reading: Reading = {
+		confirmedAt: -Infinity,
+		formerAt: -Infinity,
+		byPeer: false,
+	};
+
 	#revision: number | undefined;
 	/** Whether the next reading comes from a peer, so that it costs the store no call. */
 	#isRelayed = false;
@@ -99,6 +113,11 @@
 		return this.#revision;
 	}
 
+	/** How the present copy of the objects was read. */
+	get reading(): Reading {
+		return this.#reading;
+	}
+
 	start(): void {
 		void this.#run();
 	}
@@ -213,8 +232,10 @@
 	/** Records when the objects were last confirmed: now, unless the reading was relayed. */
 	#confirm(relay: RelayedReading | undefined): void {
 		const confirmedAt = relay?.confirmedAt ?? this.context.clock.now();
+		const byPeer = relay?.byPeer ?? false;
+		this.#reading = {confirmedAt, formerAt: this.#lastSuccessAt, byPeer};
 		this.#lastSuccessAt = Math.max(this.#lastSuccessAt, confirmedAt);
-		this.#isRelayed = relay?.byPeer ?? false;
+		this.#isRelayed = byPeer;
 	}
 
 	async #watch(since: number): Promise<string | undefined> {
@@ -366,3 +387,15 @@
 		}
 	}
 }
+
+/** A reading in the log: the ages of this copy and of the one before, in ms. */
+export function readingFields(
+	{confirmedAt, formerAt, byPeer}: Reading,
+	now: Millis,
+) {
+	return {
+		byPeer,
+		confirmedMs: Math.round(now - confirmedAt),
+		formerMs: Math.round(now - formerAt),
+	};
+}
--- a/packages/daemon/src/gateway/server-notices.ts
+++ b/packages/daemon/src/gateway/server-notices.ts
@@ -13,6 +13,7 @@
 import {inject, singleton} from 'tsyringe';
 import {Log} from '../log/log.js';
 import {GatewayMetrics} from './gateway-metrics.js';
+import {readingFields} from './kind-follower.js';
 import {ViewTask} from './view-task.js';
 
 /** After a failed call to the store, entries that arrive within this time may have changed long before. */
@@ -100,7 +101,13 @@
 		if (this.leaving.add(server, since, this.clock.now())) {
 			const {service, backendServer} = server;
 			this.metrics.serverNotice('leaving');
-			this.log.info('server-leaving', {service, backendServer, by});
+			this.log.info('server-leaving', {
+				service,
+				backendServer,
+				by,
+				...(by === 'entry' &&
+					readingFields(this.view.serversReading, this.clock.now())),
+			});
 		}
 	}
 
--- a/packages/daemon/src/gateway/view-task.ts
+++ b/packages/daemon/src/gateway/view-task.ts
@@ -37,7 +37,12 @@
 import {Task} from '../task/task.js';
 import {Topic} from '../task/topic.js';
 import {GatewayMetrics} from './gateway-metrics.js';
-import {KindFollower, type Objects} from './kind-follower.js';
+import {
+	KindFollower,
+	readingFields,
+	type Objects,
+	type Reading,
+} from './kind-follower.js';
 import {ObjectReader} from './object-reader.js';
 import {RelayedStore} from './relayed-store.js';
 import {StoreContact} from './store-contact.js';
@@ -224,6 +229,11 @@
 		return this.#servers.lastFailureAt;
 	}
 
+	/** How the entries of backend servers were last read. */
+	get serversReading(): Reading {
+		return this.#servers.reading;
+	}
+
 	/** When an answered call last showed that the entries of backend servers are current; -Infinity if none has. */
 	get serversReadAt(): Millis {
 		return this.#servers.lastSuccessAt;
@@ -315,6 +325,7 @@
 					version,
 					revision,
 					routes: rules.length,
+					...readingFields(this.#config.reading, this.clock.now()),
 				});
 				this.#update({routes: new RouteTable(config)});
 			},
--- a/packages/daemon/src/requests/attempt.ts
+++ b/packages/daemon/src/requests/attempt.ts
@@ -67,6 +67,8 @@
 	readonly ended: Promise<AttemptEnd>;
 	/** Time from `send` to the answer's headers, or to the end if there were none, in ms. */
 	latencyMs: Millis = 0;
+	/** Time from `send` until a connection began to send the request, in ms. */
+	startMs: Millis = 0;
 	#sentAt: Millis = 0;
 	#settle!: (end: AttemptEnd) => void;
 	#over = false;
@@ -136,6 +138,7 @@
 		}
 
 		this.#controller = controller;
+		this.startMs = this.clock.now() - this.#sentAt;
 	}
 
 	onResponseStart(
