Choose anew where a request has waited for a connection to a server that leaves or is gone

What callers saw: a request whose server was chosen, and which then waited until one of this daemon's few connections to that server was free, was sent there whenever that was, also after the server had reported that it leaves, or its entry had been removed, for as long as its caller allowed.

Cause: a decision that ages between its making and its carrying out. Nothing looked at the choice again before the first byte, and a pool whose address is no longer listed closes only once it is empty.

Evidence: gateway-notices, three new tests, failed before: the second request reached i-1 seconds after the entry said draining, or was removed (504 when its time was over, in place of 503, or of 200 from the other server).

Change: an attempt asks when a connection is ready whether the server is in service and may still get requests, and is taken back otherwise, which counts neither as a try nor against the retry budget; when the servers in service change, requests that wait for a connection are taken back at once. No byte has been sent, so requests that may not be repeated are chosen anew as well.

--- a/packages/core/src/gateway/server-index.ts
+++ b/packages/core/src/gateway/server-index.ts
@@ -8,6 +8,7 @@
 import {type Random} from '../chance/random.js';
 import {isHeldBy, type KeyRange} from './key-range.js';
 import {type ListedServer} from './listed-server.js';
+import {type ServerRun} from './server-run.js';
 
 /** Of the sample of a daemon that prefers its own domain, the share from that domain; the others show how busy theirs are. */
 const ownSampleShare = 0.625;
@@ -100,6 +101,11 @@
 		}
 	}
 
+	/** Whether this run of the server is in service. */
+	has({backendServer, startedAt}: ServerRun): boolean {
+		return this.#byId.get(backendServer)?.startedAt === startedAt;
+	}
+
 	/** The server that holds `range` of the service's keys, if it is in service. */
 	owner(service: string, range: KeyRange): ListedServer | undefined {
 		const server = this.#byId.get(range.owner);
--- a/packages/core/src/requests/attempt-end.ts
+++ b/packages/core/src/requests/attempt-end.ts
@@ -10,6 +10,8 @@
 	readonly message: string;
 	/** True if the server's host answered that nobody listens. */
 	readonly refused?: boolean;
+	/** True if the request was taken back while it waited for a connection: the server may not get it any more. */
+	readonly withdrawn?: boolean;
 };
 
 /** The server itself reported that it did not run the request. */
--- a/packages/daemon/src/gateway/gateway-attempt.ts
+++ b/packages/daemon/src/gateway/gateway-attempt.ts
@@ -82,6 +82,13 @@
 		this.#attempt?.cancel();
 	}
 
+	/** Takes the request back if it waits for a connection to a server that may not get it any more. */
+	reconsider(): void {
+		if (!this.#mayStart()) {
+			this.#attempt?.withdraw();
+		}
+	}
+
 	async run(): Promise<AttemptEnd> {
 		const {picks, connections, clock, log, view, warmth, waiting} =
 			this.context;
@@ -138,7 +145,8 @@
 			view.suspectRangeTables();
 		}
 
-		if (end.kind === 'unsent' || (end.kind === 'lost' && end.reset)) {
+		const isUnreached = end.kind === 'unsent' && !end.withdrawn;
+		if (isUnreached || (end.kind === 'lost' && end.reset)) {
 			warmth.recordReset(server);
 		}
 
@@ -149,6 +157,10 @@
 		return end;
 	}
 
+	#mayStart(): boolean {
+		return this.context.picks.mayStart(this.plan.server);
+	}
+
 	/** Requests that waited long for a connection went by a choice of that age. */
 	#logLateStart({startMs}: Attempt): void {
 		if (startMs >= lateStartMs) {
@@ -185,6 +197,7 @@
 				idleMs: answerIdleMs,
 				holdLen,
 				lease: this.#lease,
+				mayStart: () => this.#mayStart(),
 				claim: () => {
 					closeIfStopping(this.context, this.caller);
 					return true;
@@ -250,7 +263,12 @@
 	}
 }
 
-function sendOutcome({kind}: AttemptEnd): SendOutcome {
+function sendOutcome(end: AttemptEnd): SendOutcome {
+	if (end.kind === 'unsent' && end.withdrawn) {
+		return 'cancelled';
+	}
+
+	const {kind} = end;
 	switch (kind) {
 		case 'answered':
 		case 'declined':
--- a/packages/daemon/src/gateway/gateway-entry-task.ts
+++ b/packages/daemon/src/gateway/gateway-entry-task.ts
@@ -141,6 +141,10 @@
 		view.view.subscribe(({routes, servers = [], daemons}) => {
 			budgets.setSlack(slackOf(daemons));
 			waiting.wakeAll();
+			for (const exchange of this.#exchanges) {
+				exchange.reconsider();
+			}
+
 			connections.retainOnly(new Set(servers.map(({address}) => address)));
 			if (routes) {
 				const {idleMs, headerMs} = routes.config.limits;
--- a/packages/daemon/src/gateway/gateway-exchange.ts
+++ b/packages/daemon/src/gateway/gateway-exchange.ts
@@ -118,6 +118,11 @@
 		}
 	}
 
+	/** To be called when the servers in service have changed. */
+	reconsider(): void {
+		this.#attempt?.reconsider();
+	}
+
 	/**
 	 * Ends the request because the process does. What a server has may have run; an answer
 	 * that has begun is cut off.
@@ -283,6 +288,11 @@
 				return undefined;
 			}
 
+			if (end.kind === 'unsent' && end.withdrawn) {
+				tried.pop();
+				continue;
+			}
+
 			suspect.recordEnd(server, end);
 			if (end.kind === 'answered') {
 				budget.recordSuccess();
--- a/packages/daemon/src/gateway/server-notices.ts
+++ b/packages/daemon/src/gateway/server-notices.ts
@@ -32,14 +32,16 @@
 	/** The runs that were not leaving when the entries were last read. */
 	#staying: ReadonlySet<string> = new Set();
 	readonly #malformedLogged = new Set<string>();
+	readonly #leavingMs: Millis;
 
 	constructor(
 		@inject(ViewTask) private readonly view: ViewTask,
-		@inject('Deployment') private readonly deployment: Deployment,
+		@inject('Deployment') {bounds}: Deployment,
 		@inject('Clock') private readonly clock: Clock,
 		@inject(GatewayMetrics) private readonly metrics: GatewayMetrics,
 		@inject(Log) private readonly log: Log,
 	) {
+		this.#leavingMs = bounds.drainMs * leavingShare;
 		view.view.subscribe(({servers = []}) => {
 			this.#recordEntries(servers);
 		});
@@ -47,11 +49,17 @@
 
 	/** The servers among `serving` that may get a request now. */
 	candidates(serving: readonly ListedServer[]): Candidates {
-		const {leaving, holds, deployment, clock} = this;
-		const leavingMs = deployment.bounds.drainMs * leavingShare;
+		const {leaving, holds, clock} = this;
+		const leavingMs = this.#leavingMs;
 		return chooseCandidates(serving, {leaving, holds, leavingMs}, clock.now());
 	}
 
+	/** Whether the server may get a request that was meant for it some time ago. */
+	mayStart(server: ListedServer): boolean {
+		const age = this.leaving.age(server, this.clock.now());
+		return age === undefined || age < this.#leavingMs;
+	}
+
 	/** Records that the server announced its leaving in an answer. */
 	recordLeaving(server: ListedServer): void {
 		this.#addLeaving(server, this.clock.now(), 'answer');
--- a/packages/daemon/src/gateway/server-picks.ts
+++ b/packages/daemon/src/gateway/server-picks.ts
@@ -160,6 +160,11 @@
 			: this.#pickAny(criteria);
 	}
 
+	/** Whether a request for which the server was chosen some time ago may be sent to it now. */
+	mayStart(server: ListedServer): boolean {
+		return this.#index.has(server) && this.notices.mayStart(server);
+	}
+
 	/** Why a waiting request has no room; undefined if it is to try now, also to learn why it can't be sent. */
 	examine(criteria: PickCriteria): Examined | undefined {
 		return this.pick({...criteria, isProbe: true})
--- a/packages/daemon/src/requests/attempt.ts
+++ b/packages/daemon/src/requests/attempt.ts
@@ -53,6 +53,8 @@
 	readonly holdLen: number;
 	/** The memory for the buffered answer; without room in it the answer is passed on earlier. */
 	readonly lease: BufferLease;
+	/** Whether the request may still be sent to this server, asked when a connection is ready. */
+	readonly mayStart: () => boolean;
 	/** Claims the caller's response for this attempt's answer; false if another attempt has it. */
 	readonly claim: () => boolean;
 	/** Decides from the status and headers whether an answer is passed on. */
@@ -131,7 +133,19 @@
 		this.#abort('cancelled');
 	}
 
+	/** Takes the request back if no connection has begun to send it; none will. */
+	withdraw(): void {
+		if (!this.#controller) {
+			const message = 'the server may get no requests any more';
+			this.#end({kind: 'unsent', message, withdrawn: true});
+		}
+	}
+
 	onRequestStart(controller: Dispatcher.DispatchController): void {
+		if (!this.#over && !this.#controller && !this.plan.mayStart()) {
+			this.withdraw();
+		}
+
 		if (this.#over || this.#controller) {
 			controller.abort(new Error('the request has ended or was sent already'));
 			return;
--- a/packages/daemon/src/requests/server-attempt.ts
+++ b/packages/daemon/src/requests/server-attempt.ts
@@ -88,6 +88,7 @@
 				idleMs: answerIdleMs,
 				holdLen: replayLen,
 				lease: BufferLease.unlimited(),
+				mayStart: () => true,
 				claim: () => this.plan.claim(this),
 				checkAnswer: (head) => checkAnswer(id, method, head),
 				endIsReset: () => connections.endIsReset,
--- a/packages/fakes/test/gateway-notices.test.ts
+++ b/packages/fakes/test/gateway-notices.test.ts
@@ -1,6 +1,12 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
-import test from 'ava';
-import {createSite, sendAnswer} from './gateway-site.js';
+import {setTimeout as sleep} from 'node:timers/promises';
+import test, {type ExecutionContext} from 'ava';
+import {
+	createSite,
+	plainConfig,
+	sendAnswer,
+	type RequestHandler,
+} from './gateway-site.js';
 import {until} from './requests-fixture.js';
 
 /** Declines a request as a full server does, with fields of its own. */
@@ -60,6 +66,79 @@
 	t.true(Number(refused.headers['retry-after']) > 0);
 });
 
+/** Holds each request of a server until the test answers it. */
+class HeldRequests {
+	readonly paths: string[] = [];
+	#answers: Array<() => void> = [];
+
+	readonly hold: RequestHandler = (req, res, body) => {
+		this.paths.push(req.url!);
+		this.#answers.push(() => {
+			sendAnswer(req, res, body);
+		});
+	};
+
+	answerAll(): void {
+		const answers = this.#answers;
+		this.#answers = [];
+		for (const answer of answers) {
+			answer();
+		}
+	}
+}
+
+/** A site at which a request waits for the one connection to server `i-1`, of which it has chosen. */
+async function createSiteWithWaitingRequest(t: ExecutionContext) {
+	const site = createSite(t);
+	const held = new HeldRequests();
+	const [row] = plainConfig.services.rows;
+	site.config = {
+		...plainConfig,
+		services: {
+			...plainConfig.services,
+			rows: [row.with(plainConfig.services.columns.indexOf('maxConns'), 2)],
+		},
+	};
+	await site.addServer('i-1', 'plain', held.hold);
+	await site.start();
+	const first = site.statusOf('/read/first');
+	await until(async () => held.paths.length === 1);
+	const second = site.statusOf('/book/second', {}, 'b');
+	await until(async () =>
+		site.log().some((line) => line.includes('q/book/second')),
+	);
+	return {site, held, first, second};
+}
+
+for (const notice of ['reports that it leaves', 'is gone'] as const) {
+	test(`a request that waits for a connection is not sent to its server once that ${notice}`, async (t) => {
+		const {site, held, first, second} = await createSiteWithWaitingRequest(t);
+		if (notice === 'is gone') {
+			site.store.remove('servers', 'i-1');
+			await until(async () => (await site.statusOf('/read/x')) === 503);
+		} else {
+			site.store.markDraining('i-1');
+			await site.line('event=server-leaving');
+			await sleep(1800);
+		}
+
+		held.answerAll();
+		t.is(await first, 200);
+		t.is(await second, 503, 'no other server can take it');
+		t.deepEqual(held.paths, ['/read/first']);
+	});
+}
+
+test('a request that waits for a connection to a server that goes is sent to another one at once', async (t) => {
+	const {site, held, first, second} = await createSiteWithWaitingRequest(t);
+	await site.addServer('i-2', 'plain', sendAnswer);
+	site.store.remove('servers', 'i-1');
+	t.is(await second, 200, 'though the connection to i-1 is still busy');
+	held.answerAll();
+	t.is(await first, 200);
+	t.deepEqual(held.paths, ['/read/first']);
+});
+
 test('a server that asks for a pause gets none of the requests that follow, and if all do, callers are told at once when to return', async (t) => {
 	const site = createSite(t);
 	const runs: string[] = [];
