Count the time of a leaving server from the change of its entry, over every hop of the reading

What callers saw: a leaving server that no other can replace, as the holder of a key, got requests for 0.35 of drainMs after this daemon had read its entry. The reading may be far later than the change: the watcher gathers changes for 0.3 of drainMs, a silent watcher is left after 820 ms and the next may be silent too, and a daemon without processor time reads its answer late. Nothing added these up.

Cause: a time that counts from the reading in place of the change.

Change: each reading says when the first of its changes was made at the earliest: just now for a poll that the store held, else after the last answer. A watcher's history keeps that time for each copy and its answers carry it as an age, so that gathering, hold, and a change of watcher are part of it, as is the way to a reader, from the sending of its question on. A leaving server gets requests for half of drainMs after the change; on the average that is as long as before (875 ms after a reading that is some 400 ms old). Of several notices the earliest counts.

--- a/packages/core/src/gateway/leaving-servers.ts
+++ b/packages/core/src/gateway/leaving-servers.ts
@@ -28,16 +28,14 @@
 
 	/**
 	 * Records that the run is leaving; false if that was known. `since` is -Infinity where
-	 * it may have been leaving for long.
+	 * it may have been leaving for long; of several notices the earliest counts.
 	 */
 	add(run: ServerRun, since: Millis, now: Millis): boolean {
 		const key = runKeyOf(run);
-		const isNew = !this.#notices.has(key);
-		if (isNew) {
-			this.#notices.set(key, {since, seenAt: now});
-		}
-
-		return isNew;
+		const known = this.#notices.get(key);
+		const earliest = Math.min(known?.since ?? since, since);
+		this.#notices.set(key, {since: earliest, seenAt: now});
+		return !known;
 	}
 
 	has(run: ServerRun): boolean {
--- a/packages/daemon/src/gateway/kind-follower.ts
+++ b/packages/daemon/src/gateway/kind-follower.ts
@@ -40,6 +40,9 @@
 /** Between two calls while the store does not answer; jittered, because all daemons retry. */
 const retryMs: Millis = 500;
 
+/** A poll that lasts longer than this had no change to report when it began: the store answers it at once otherwise. */
+const promptMs: Millis = 500;
+
 const maxNamesLogged = 10;
 
 export type Objects = ReadonlyMap<string, StoredObject>;
@@ -51,6 +54,8 @@
 	/** When the store confirmed this copy, and when it last confirmed the one before; -Infinity if it has not. */
 	readonly confirmedAt: Millis;
 	readonly formerAt: Millis;
+	/** When the first of its changes was made, at the earliest; -Infinity if that is not known. */
+	readonly changedSince: Millis;
 	readonly byPeer: boolean;
 };
 
@@ -77,9 +82,12 @@
 	#hadChanges = false;
 	#lastFailureAt: Millis = -Infinity;
 	#lastSuccessAt: Millis = -Infinity;
+	/** When an answer that was not itself old last confirmed the objects. */
+	#knownAt: Millis = -Infinity;
 	#reading: Reading = {
 		confirmedAt: -Infinity,
 		formerAt: -Infinity,
+		changedSince: -Infinity,
 		byPeer: false,
 	};
 
@@ -220,7 +228,8 @@
 				this.#unreadable = new Set(unreadable);
 
 				this.#revision = revision;
-				this.#confirm(relay);
+				this.#confirm(relay, this.#knownAt);
+				this.#knownAt = stale ? this.#knownAt : this.#reading.confirmedAt;
 				this.objects.publish(
 					new Map(objects.map((object) => [object.name, object])),
 				);
@@ -229,17 +238,23 @@
 		);
 	}
 
-	/** Records when the objects were last confirmed: now, unless the reading was relayed. */
-	#confirm(relay: RelayedReading | undefined): void {
+	/** Records when the objects were last confirmed: now, unless the reading was relayed. Its changes were made after `since`. */
+	#confirm(relay: RelayedReading | undefined, since: Millis): void {
 		const confirmedAt = relay?.confirmedAt ?? this.context.clock.now();
 		const byPeer = relay?.byPeer ?? false;
-		this.#reading = {confirmedAt, formerAt: this.#lastSuccessAt, byPeer};
+		this.#reading = {
+			confirmedAt,
+			formerAt: this.#lastSuccessAt,
+			changedSince: relay?.changedSince ?? since,
+			byPeer,
+		};
 		this.#lastSuccessAt = Math.max(this.#lastSuccessAt, confirmedAt);
 		this.#isRelayed = byPeer;
 	}
 
 	async #watch(since: number): Promise<string | undefined> {
 		this.#hadChanges = false;
+		const beganAt = this.context.clock.now();
 		const changeList = await this.#nextChanges(since);
 		if (!changeList) {
 			return undefined;
@@ -257,7 +272,10 @@
 			},
 			({revision, changes, unreadable = [], relay}) => {
 				this.#revision = Math.max(since, revision);
-				this.#confirm(relay);
+				const now = this.context.clock.now();
+				const wasHeld = !relay && now - beganAt > promptMs;
+				this.#confirm(relay, wasHeld ? now : this.#knownAt);
+				this.#knownAt = Math.max(this.#knownAt, this.#reading.confirmedAt);
 				this.#logUnreadable(unreadable);
 				this.#unreadable = new Set([...this.#unreadable, ...unreadable]);
 				this.#hadChanges = changes.length > 0;
@@ -390,12 +408,13 @@
 
 /** A reading in the log: the ages of this copy and of the one before, in ms. */
 export function readingFields(
-	{confirmedAt, formerAt, byPeer}: Reading,
+	{confirmedAt, formerAt, changedSince, byPeer}: Reading,
 	now: Millis,
 ) {
 	return {
 		byPeer,
 		confirmedMs: Math.round(now - confirmedAt),
 		formerMs: Math.round(now - formerAt),
+		changedMs: Math.round(now - changedSince),
 	};
 }
--- a/packages/daemon/src/gateway/peer-link.ts
+++ b/packages/daemon/src/gateway/peer-link.ts
@@ -289,10 +289,19 @@
 			return {kind: reading ? 'expired' : 'none'};
 		}
 
-		const {revision, contentRevision, ageMs, changes} = reading;
+		const {revision, contentRevision, ageMs, changedAgeMs, changes} = reading;
 		const answeredAt = Math.min(sentAt + heldMs, this.context.clock.now());
 		const confirmedAt = answeredAt - ageMs;
-		return {kind: 'read', revision, contentRevision, confirmedAt, changes};
+		const changedSince =
+			changedAgeMs === undefined ? undefined : answeredAt - changedAgeMs;
+		return {
+			kind: 'read',
+			revision,
+			contentRevision,
+			confirmedAt,
+			changedSince,
+			changes,
+		};
 	}
 
 	#fail(peer: Watcher, fault: PeerFault): void {
--- a/packages/daemon/src/gateway/peer-reads.ts
+++ b/packages/daemon/src/gateway/peer-reads.ts
@@ -11,6 +11,8 @@
 			readonly contentRevision: number;
 			/** When the store last confirmed the objects, at the latest. */
 			readonly confirmedAt: Millis;
+			/** When the first of the changes was made, at the earliest; undefined if that is not known. */
+			readonly changedSince: Millis | undefined;
 			/** In a list all objects. */
 			readonly changes: readonly ObjectChange[];
 	  }
--- a/packages/daemon/src/gateway/relay-answers.ts
+++ b/packages/daemon/src/gateway/relay-answers.ts
@@ -71,7 +71,8 @@
 		const update = () => {
 			const {value} = follower.objects;
 			if (value && follower.revision !== undefined) {
-				history.update(value, follower.revision);
+				const {changedSince} = follower.reading;
+				history.update(value, follower.revision, changedSince);
 				for (const notify of this.#held) {
 					notify();
 				}
@@ -193,7 +194,13 @@
 
 		return len > maxChangesLen
 			? {...head, standing: relayStanding.EXPIRED}
-			: {...head, changes: messages};
+			: {
+					...head,
+					changes: messages,
+					...(messages.length > 0 && {
+						changedAgeMs: this.#ageOf(changes.changedSince),
+					}),
+				};
 	}
 
 	/** Asks the store for the revision that a peer has already. */
--- a/packages/daemon/src/gateway/relay-messages.ts
+++ b/packages/daemon/src/gateway/relay-messages.ts
@@ -19,6 +19,8 @@
 	readonly contentRevision: number;
 	/** How long before the answer the store last confirmed the objects. */
 	readonly ageMs: Millis;
+	/** How long before the answer the first of the changes was made, at the most; undefined if that is not known. */
+	readonly changedAgeMs: Millis | undefined;
 	readonly changes: readonly ObjectChange[];
 };
 
@@ -82,6 +84,7 @@
 		revision: revisionSchema.parse(message.revision ?? 0),
 		contentRevision: revisionSchema.parse(message.contentRevision ?? 0),
 		ageMs: ageSchema.parse(message.ageMs ?? 0),
+		changedAgeMs: ageSchema.optional().parse(message.changedAgeMs ?? undefined),
 		changes: (message.changes ?? []).map((change) => readChange(change)),
 	};
 }
--- a/packages/daemon/src/gateway/relayed-store.ts
+++ b/packages/daemon/src/gateway/relayed-store.ts
@@ -151,7 +151,7 @@
 			}
 
 			case 'read': {
-				const {changes, confirmedAt, contentRevision} = outcome;
+				const {changes, confirmedAt, changedSince, contentRevision} = outcome;
 				const changedAt = changes.length > 0 ? contentRevision : 0;
 				if (!this.#of(kind).offer(outcome.revision, changedAt)) {
 					return Right({revision, changes: [], relay: unconfirmed});
@@ -161,7 +161,7 @@
 				return Right({
 					revision: Math.max(revision, outcome.revision),
 					changes,
-					relay: {confirmedAt, byPeer: true},
+					relay: {confirmedAt, changedSince, byPeer: true},
 				});
 			}
 		}
--- a/packages/daemon/src/gateway/server-notices.ts
+++ b/packages/daemon/src/gateway/server-notices.ts
@@ -18,8 +18,8 @@
 
 /** After a failed call to the store, entries that arrive within this time may have changed long before. */
 const catchUpMs: Millis = 6000;
-/** Share of the time that the platform allows within which a leaving server still gets requests that no other server can take. */
-const leavingShare = 0.35;
+/** Share of the time that the platform allows, from the change of the entry on, within which a leaving server still gets requests that no other server can take; the rest is for their way there. */
+const leavingShare = 0.5;
 /** Malformed fields are logged once for each server and field, up to this many. */
 const maxMalformedLogged = 1000;
 
@@ -85,10 +85,11 @@
 
 	#recordEntries(servers: readonly ListedServer[]): void {
 		const now = this.clock.now();
+		const {changedSince} = this.view.serversReading;
 		const isCurrent = now - this.view.serversFailedAt > catchUpMs;
 		for (const server of servers.filter(({draining}) => draining)) {
 			const wasStaying = this.#staying.has(runKeyOf(server));
-			const since = isCurrent && wasStaying ? now : -Infinity;
+			const since = isCurrent && wasStaying ? changedSince : -Infinity;
 			this.#addLeaving(server, since, 'entry');
 		}
 
--- a/packages/platform/src/object-store.ts
+++ b/packages/platform/src/object-store.ts
@@ -23,6 +23,8 @@
 export type RelayedReading = {
 	/** When the store last confirmed the reading, as far as is known. */
 	readonly confirmedAt: Millis;
+	/** When the first of its changes was made, at the earliest; undefined if that is not known. */
+	readonly changedSince?: Millis | undefined;
 	/** Whether the next reading comes from a peer as well, so that it costs no call to the store. */
 	readonly byPeer: boolean;
 };
