Take a pause in which one daemon heard nothing for no absence of the store, if its peer was answered

What callers saw: after a pause of two of the servers' reporting intervals (1.74 s) in which a daemon read nothing, because a watcher and the next one were silent or its own process did not run, servers whose entries were gone when it read again were kept in service for 2 s more. They had left while the store answered everybody else.

Cause: a daemon judged by its own silence whether the store was away.

Change: a watcher says for how long the store has answered it without an absence, and a reader's absence is the gap between the answers that any of them had. A restored store, and a watcher that lost the store itself, count as before.

Evidence: daemon/store-contact, a new test, failed with the peer's word left out (returned at 5000 ms in place of never). 21 of 21 tests of lapses, silences, relays and contact pass.

--- a/packages/core/src/gateway/store-absence.ts
+++ b/packages/core/src/gateway/store-absence.ts
@@ -11,9 +11,13 @@
 /** With fewer intervals than this without the store, an entry is renewed before it lapses. */
 const lapseIntervals = 2;
 
+/** The time over which the store has answered without an absence. */
+export type Answers = {readonly since: Millis; readonly until: Millis};
+
 export class StoreAbsence {
 	readonly #minMs: Millis;
-	#answeredAt: Millis | undefined;
+	/** The answers since the last absence. */
+	#answers: Answers | undefined;
 	#returnedAt: Millis = -Infinity;
 
 	/** `reportMs` is the interval at which servers renew their entries. */
@@ -31,15 +35,29 @@
 		this.#returnedAt = now;
 	}
 
+	/** When the answers began after which there was no absence; undefined before the first. */
+	get answersSince(): Millis | undefined {
+		return this.#answers?.since;
+	}
+
 	/** Records an answer of the store. */
 	answered(now: Millis): void {
-		if (
-			this.#answeredAt !== undefined &&
-			now - this.#answeredAt >= this.#minMs
-		) {
-			this.#returnedAt = now;
-		}
+		this.heardOf({since: now, until: now});
+	}
 
-		this.#answeredAt = now;
+	/** Records answers of the store to a peer: a pause in which this daemon alone heard nothing is no absence. */
+	heardOf({since, until}: Answers): void {
+		const known = this.#answers;
+		if (!known) {
+			this.#answers = {since, until};
+		} else if (since - known.until >= this.#minMs) {
+			this.#returnedAt = since;
+			this.#answers = {since, until};
+		} else {
+			this.#answers = {
+				since: known.since,
+				until: Math.max(known.until, until),
+			};
+		}
 	}
 }
--- a/packages/daemon/src/gateway/peer-link.ts
+++ b/packages/daemon/src/gateway/peer-link.ts
@@ -243,14 +243,16 @@
 
 	/** The peer's calls count as this daemon's own, as of the earliest time at which it can have answered. */
 	#hearOf(
-		{heldMs, contactAgeMs, failureAgeMs}: PeerAnswer,
+		{heldMs, contactAgeMs, unbrokenMs, failureAgeMs}: PeerAnswer,
 		sentAt: Millis,
 	): void {
 		const answeredAt = Math.min(sentAt + heldMs, this.context.clock.now());
-		this.context.contact.heardOf(
-			answeredAt - contactAgeMs,
-			answeredAt - failureAgeMs,
-		);
+		const contactAt = answeredAt - contactAgeMs;
+		this.context.contact.heardOf({
+			answeredAt: contactAt,
+			failedAt: answeredAt - failureAgeMs,
+			since: contactAt - unbrokenMs,
+		});
 	}
 
 	#deliver(
--- a/packages/daemon/src/gateway/relay-answers.ts
+++ b/packages/daemon/src/gateway/relay-answers.ts
@@ -218,9 +218,14 @@
 		heldMs: Millis,
 	): FollowAnswerMessage {
 		const {contact} = this.context;
+		const {lastAnswerAt, absence} = contact;
 		return {
 			heldMs,
-			contactAgeMs: this.#ageOf(contact.lastAnswerAt),
+			unbrokenMs: Math.max(
+				0,
+				lastAnswerAt - (absence.answersSince ?? lastAnswerAt),
+			),
+			contactAgeMs: this.#ageOf(lastAnswerAt),
 			failureAgeMs: this.#ageOf(contact.lastFailureAt),
 			readings,
 		};
--- a/packages/daemon/src/gateway/relay-messages.ts
+++ b/packages/daemon/src/gateway/relay-messages.ts
@@ -28,6 +28,8 @@
 export type PeerAnswer = {
 	readonly heldMs: Millis;
 	readonly contactAgeMs: Millis;
+	/** For how long, up to its last contact, the store has answered it without an absence. */
+	readonly unbrokenMs: Millis;
 	/** Infinity if none of its calls has failed. */
 	readonly failureAgeMs: Millis;
 	readonly readings: readonly PeerReading[];
@@ -67,6 +69,7 @@
 	return Either.encase(() => ({
 		heldMs: ageSchema.parse(message.heldMs ?? 0),
 		contactAgeMs: ageSchema.parse(message.contactAgeMs ?? 0),
+		unbrokenMs: ageSchema.parse(message.unbrokenMs ?? 0),
 		failureAgeMs: ageSchema.parse(message.failureAgeMs ?? Number.MAX_VALUE),
 		readings: (message.readings ?? []).map((reading) => readReading(reading)),
 	}));
--- a/packages/daemon/src/gateway/relayed-store.ts
+++ b/packages/daemon/src/gateway/relayed-store.ts
@@ -280,7 +280,11 @@
 		}
 
 		await clock.sleep(awayTickMs);
-		contact.heardOf(-Infinity, clock.now());
+		contact.heardOf({
+			answeredAt: -Infinity,
+			failedAt: clock.now(),
+			since: -Infinity,
+		});
 		return Left(storeAway);
 	}
 
--- a/packages/daemon/src/gateway/store-contact.ts
+++ b/packages/daemon/src/gateway/store-contact.ts
@@ -7,6 +7,13 @@
 import {type Either} from 'purify-ts';
 import {inject, singleton} from 'tsyringe';
 
+/** When calls of a peer to the store were last answered and last failed, and since when there was no absence. */
+export type PeerContact = {
+	readonly answeredAt: Millis;
+	readonly failedAt: Millis;
+	readonly since: Millis;
+};
+
 @singleton()
 export class StoreContact {
 	readonly absence: StoreAbsence;
@@ -35,11 +42,12 @@
 		return this.#lastFailureAt > this.#lastAnswerAt;
 	}
 
-	/** Records when calls of the peer that this daemon reads from were last answered and failed. */
-	heardOf(answeredAt: Millis, failedAt: Millis): void {
+	/** Records the contact of the peer that this daemon reads from. */
+	heardOf({answeredAt, failedAt, since}: PeerContact): void {
 		this.#lastFailureAt = Math.max(this.#lastFailureAt, failedAt);
 		if (answeredAt > this.#lastAnswerAt) {
-			this.#answered(answeredAt);
+			this.#lastAnswerAt = answeredAt;
+			this.absence.heardOf({since, until: answeredAt});
 		}
 	}
 
--- a/packages/daemon/test/store-contact.test.ts
+++ b/packages/daemon/test/store-contact.test.ts
@@ -51,3 +51,17 @@
 	t.is(await lastFailureAfter(failed, 16_000, 15_000), -Infinity);
 	t.is(await lastFailureAfter(failed, 4000, 15_000), 4000);
 });
+
+/** When the store is taken to have returned, by a daemon that hears at 1 s and at 5 s of answers that its peer had from `since` on. */
+function returnAfterPause(since: number): number {
+	const contact = new StoreContact(new ManualClock(), {serverReportMs: 870});
+	contact.heardOf({answeredAt: 1000, failedAt: -Infinity, since: 0});
+	contact.heardOf({answeredAt: 5000, failedAt: -Infinity, since});
+	return contact.absence.returnedAt;
+}
+
+test('a pause in which a daemon heard nothing is no absence of the store if the store answered its peer meanwhile', (t) => {
+	t.is(returnAfterPause(0), -Infinity);
+	t.is(returnAfterPause(2000), -Infinity, 'shorter than entries last');
+	t.is(returnAfterPause(4800), 4800);
+});
