Refuse a request whose body, or whose turn on its connection, does not come in its time

What callers saw: no answer at their route's time-out, nor half a second later, where the body arrived slowly, as over a link that others fill, or where a request sent ahead stayed in progress: up to 60 s, the bound of the HTTP parser. The users count that as a configuration that is not in force.

Cause: the time of a request bounded each wait of it but the two before its first attempt, which were left to the bounds of the connection.

Change: a timer refuses the request, which has not run, when no time for an attempt is left.

Evidence: gateway-refusals, two new tests, failed before: no answer within 20 s to a request with half a body, and a refusal after 2 s in place of 0.5 behind one that must not run twice. 30 of 30 tests of refusals, requests sent ahead and the gateway pass.

--- a/packages/daemon/src/gateway/gateway-exchange.ts
+++ b/packages/daemon/src/gateway/gateway-exchange.ts
@@ -154,6 +154,7 @@
 		const until =
 			arrivedAt + Math.min(allowedMs, rule.timeoutMs) - replyMarginMs;
 		this.#until = until;
+		this.#refuseWhenLate(until - arrivedAt - minAttemptMs);
 		const body = await this.#readBody(maxBodyLen);
 		if (!body) {
 			return undefined;
@@ -182,6 +183,17 @@
 		return this.#sendWithinQuota(this.#request);
 	}
 
+	/** Ends the wait for the body, or for the requests before this one, when no time is left for an attempt. */
+	#refuseWhenLate(afterMs: Millis): void {
+		const {clock} = this.context;
+		const cancel = clock.after(afterMs + 1, () => {
+			if (!this.#attempt) {
+				this.refuseIfWaiting();
+			}
+		});
+		this.caller.turn.onceEnded(cancel);
+	}
+
 	/** Reads the body, or its first part if it is long; undefined if the caller has left. */
 	async #readBody(maxLen: number): Promise<RequestBody | undefined> {
 		try {
--- a/packages/fakes/test/gateway-refusals.test.ts
+++ b/packages/fakes/test/gateway-refusals.test.ts
@@ -2,7 +2,13 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import test from 'ava';
-import {sendAnswer, createSite, type RequestHandler} from './gateway-site.js';
+import {CallerSocket, requestText} from './caller-socket.js';
+import {
+	createSite,
+	sendAnswer,
+	type RequestHandler,
+	type Site,
+} from './gateway-site.js';
 import {pause, until} from './requests-fixture.js';
 
 /** Long enough for a refusal to be taken for the answer of a running request. */
@@ -154,3 +160,73 @@
 
 	t.deepEqual(new Set(await Promise.all(pending)), new Set([200]));
 });
+
+/** How long the daemon takes to answer a request whose caller allows `allowedMs`, of which these bytes arrive. */
+async function answerTime(
+	site: Site,
+	{allowedMs, body}: {readonly allowedMs: number; readonly body: string},
+) {
+	const caller = await CallerSocket.open(site.entry);
+	const sentAt = performance.now();
+	caller.write(
+		[
+			'POST /book/slow HTTP/1.1',
+			'host: shop.example',
+			'x-kingcuproute-request-id: q',
+			`x-kingcuproute-deadline-ms: ${allowedMs}`,
+			'content-length: 10',
+			'',
+			body,
+		].join('\r\n'),
+	);
+	await until(async () => caller.answers.length > 0);
+	const tookMs = performance.now() - sentAt;
+	caller.leave();
+	return {tookMs, status: caller.answers[0].status};
+}
+
+test('a request that waits behind one that must not run twice is refused when its time is over, and never runs', async (t) => {
+	const site = createSite(t);
+	const runs: string[] = [];
+	await site.addServer('i-1', 'plain', (req, res, body) => {
+		runs.push(req.url!);
+		if (req.url === '/book/first') {
+			setTimeout(() => {
+				sendAnswer(req, res, body);
+			}, 2000);
+		} else {
+			sendAnswer(req, res, body);
+		}
+	});
+	await site.start();
+	const caller = await CallerSocket.open(site.entry);
+	caller.write(requestText('/book/first') + requestText('/read/x', 500));
+	const line = await site.line('reason=too-late');
+	t.regex(line, /id=\/read\/x/);
+	t.regex(line, /notRun=true/);
+	t.true(Number(/tookMs=(\d+)/.exec(line)![1]) < 1000, line);
+	await until(async () => caller.answers.length === 2);
+	t.deepEqual(
+		caller.answers.map(({status}) => status),
+		[200, 503],
+	);
+	t.deepEqual(runs, ['/book/first']);
+	caller.leave();
+});
+
+test('a request whose body does not arrive is refused when its time is over', async (t) => {
+	const site = createSite(t);
+	const runs: string[] = [];
+	await site.addServer('i-1', 'plain', (req, res, body) => {
+		runs.push(body);
+		sendAnswer(req, res, body);
+	});
+	await site.start();
+	for (const body of ['', 'half']) {
+		const {tookMs, status} = await answerTime(site, {allowedMs: 1000, body});
+		t.is(status, 503);
+		t.true(tookMs > 900 && tookMs < 1500, `${tookMs} ms`);
+	}
+
+	t.deepEqual(runs, []);
+});
