--- a/packages/fakes/test/gateway-refusals.test.ts
+++ b/packages/fakes/test/gateway-refusals.test.ts
@@ -204,7 +204,7 @@
 	const line = await site.line('reason=too-late');
 	t.regex(line, /id=\/read\/x/);
 	t.regex(line, /notRun=true/);
-	t.true(Number(/tookMs=(\d+)/.exec(line)![1]) < 1000, line);
+	t.true(Number(/tookMs=(\d+)/.exec(line)![1]) < 1000, `${line}`);
 	await until(async () => caller.answers.length === 2);
 	t.deepEqual(
 		caller.answers.map(({status}) => status),
