Follow a store that this daemon reaches, whatever its watchers say of it

What callers saw: a change of the configuration was not in force in time, and a leaving server got requests, at daemons in touch with the store.

Cause: once watchers of two domains had reported that the store fails, and none had shown otherwise, their readers called the store only once in 2.5 to 7.5 s, though the core was stable and they reached it. Two things made that likely in large fleets: two reports were enough, of eight watchers; and as the watchers probed again every 300 ms were always due first, the others were hardly probed at all. A twin has one watcher a domain and seldom loses two.

Change: a daemon asks the store itself, once a second at a tenth of a call, and follows it by itself for as long as it answers. Peers are probed in the order in which they fell due.

--- a/packages/core/src/gateway/peer-standing.ts
+++ b/packages/core/src/gateway/peer-standing.ts
@@ -70,7 +70,11 @@
 		return this.peers.find(({vm}) => this.#of(vm).isProven);
 	}
 
-	/** The peers to be probed now, so that two are proven and better ones are used again. */
+	/**
+	 * The peers to be probed now, so that two are proven and better ones are used again.
+	 * Those that have been due for longest come first: peers that are probed again and
+	 * again, as they stay unfit, must not keep others from being found.
+	 */
 	dueProbes(now: Millis): readonly Watcher[] {
 		const due: Watcher[] = [];
 		let proven = 0;
@@ -81,12 +85,14 @@
 			}
 
 			proven += isProven ? 1 : 0;
-			if (proven === provenPeers || due.length === provenPeers) {
+			if (proven === provenPeers) {
 				break;
 			}
 		}
 
-		return due;
+		return due
+			.toSorted((a, b) => this.#of(a.vm).probeAt - this.#of(b.vm).probeAt)
+			.slice(0, provenPeers);
 	}
 
 	/** Records that a probe begins, so that it is not begun twice. */
--- a/packages/daemon/src/gateway/relayed-store.ts
+++ b/packages/daemon/src/gateway/relayed-store.ts
@@ -27,10 +27,12 @@
 
 /** Time over which daemons without a peer turn to the store. */
 const spreadMs: Millis = 200;
-/** Between two calls of this daemon while its peers say that the store fails; jittered. */
-const awayCallMs: Millis = 5000;
+/** Between two checks, at a tenth of a call, whether this daemon reaches the store that its peers say fails; jittered. */
+const awayCheckMs: Millis = 1000;
 /** Between two looks at whether peers or the store are back meanwhile. */
 const awayTickMs: Millis = 100;
+/** For how long an answer shows that this daemon reaches the store, whatever its peers say: longer than between two checks of a poll. */
+const reachedMs: Millis = 2000;
 
 const unconfirmed: RelayedReading = {confirmedAt: -Infinity, byPeer: false};
 const noReading: PeerOutcome = {kind: 'none'};
@@ -59,7 +61,9 @@
 	readonly #relayedKinds = new Set<string>();
 	/** Whether the store is read because no peer is fit. */
 	#isFallback = false;
-	#nextAwayCallAt: Millis = -Infinity;
+	#nextAwayCheckAt: Millis = -Infinity;
+	/** When the store last answered a call of this daemon; -Infinity once one has failed. */
+	#answeredAt: Millis = -Infinity;
 	#isHearingEra = false;
 	/** Ends the long polls to the store when there are peers again. */
 	readonly #endPolls = new Set<() => void>();
@@ -191,7 +195,7 @@
 		kind: string,
 		stale: boolean,
 	): Promise<Either<ObjectError, ObjectListing>> {
-		const away = await this.#whileStoreAway();
+		const away = await this.#whileStoreAway(kind);
 		if (away) {
 			return away;
 		}
@@ -199,7 +203,9 @@
 		this.context.metrics.readFrom('store');
 		const isFirst = this.#of(kind).isNew;
 		const mayBeOld = isFirst && this.context.startsStale && !stale;
-		const listing = await this.context.store.list(kind, stale || mayBeOld);
+		const listing = this.#recordOutcome(
+			await this.context.store.list(kind, stale || mayBeOld),
+		);
 		listing.ifRight(({revision}) => {
 			this.#of(kind).offer(revision, revision);
 		});
@@ -214,7 +220,7 @@
 		waitMs: Millis,
 		stale: boolean,
 	): Promise<Either<ObjectError, ObjectChanges>> {
-		const away = await this.#whileStoreAway();
+		const away = await this.#whileStoreAway(kind);
 		if (away) {
 			return away;
 		}
@@ -223,7 +229,7 @@
 			this.context.metrics.readFrom('store');
 		}
 
-		const call = this.context.store.watch(kind, revision, waitMs, stale);
+		const call = this.#watchOwn(kind, revision, waitMs, stale);
 		const outcome = await (stale ? call : this.#unlessPeers(call, kind));
 		outcome?.ifRight(({revision: reached, changes}) => {
 			if (!stale) {
@@ -267,16 +273,40 @@
 		await clock.sleep(spreadMs * random.fraction());
 	}
 
-	/** While the peers say that the store fails, this daemon calls it rarely, and waits for its peers. */
-	async #whileStoreAway(): Promise<Either<ObjectError, never> | undefined> {
+	async #watchOwn(
+		kind: string,
+		revision: number,
+		waitMs: Millis,
+		stale: boolean,
+	): Promise<Either<ObjectError, ObjectChanges>> {
+		const {store} = this.context;
+		return this.#recordOutcome(
+			await store.watch(kind, revision, waitMs, stale),
+		);
+	}
+
+	#recordOutcome<T>(outcome: Either<ObjectError, T>): Either<ObjectError, T> {
+		this.#answeredAt = isAnswer(outcome) ? this.context.clock.now() : -Infinity;
+		return outcome;
+	}
+
+	/** While the peers say that the store fails, and this daemon does not reach it either, it checks that rarely, and waits for its peers. */
+	async #whileStoreAway(
+		kind: string,
+	): Promise<Either<ObjectError, never> | undefined> {
 		const {clock, random, contact} = this.context;
-		if (!this.#peers?.isStoreAway) {
+		const isReached = clock.now() - this.#answeredAt < reachedMs;
+		if (!this.#peers?.isStoreAway || isReached) {
 			return undefined;
 		}
 
-		if (clock.now() >= this.#nextAwayCallAt) {
-			this.#nextAwayCallAt = clock.now() + random.jitter(awayCallMs);
-			return undefined;
+		if (clock.now() >= this.#nextAwayCheckAt) {
+			this.#nextAwayCheckAt = clock.now() + random.jitter(awayCheckMs);
+			const {reached} = this.#of(kind);
+			const check = await this.#watchOwn(kind, reached, 0, true);
+			if (isAnswer(check)) {
+				return undefined;
+			}
 		}
 
 		await clock.sleep(awayTickMs);
@@ -304,3 +334,11 @@
 		this.context.metrics.readFrom('peer');
 	}
 }
+
+/** Whether the store was reached: an expired revision is its answer. */
+function isAnswer(outcome: Either<ObjectError, unknown>): boolean {
+	return outcome
+		.swap()
+		.map(({kind}) => kind === 'expired')
+		.orDefault(true);
+}
--- a/packages/daemon/test/peer-link.test.ts
+++ b/packages/daemon/test/peer-link.test.ts
@@ -271,7 +271,7 @@
 		let shown: ReadonlyMap<string, StoredObject> = new Map();
 		fleet.reader.objects.subscribe((objects = new Map()) => {
 			const changed = [...objects.values()].filter(
-				(object) => shown.get(object.name) !== object,
+				({name, revision}) => shown.get(name)?.revision !== revision,
 			);
 			const madeAt = changed.map(({revision}) =>
 				fleet.store.changedAt.get(revision)!,
--- /dev/null
+++ b/packages/daemon/test/relay-delays.test.ts
@@ -0,0 +1,277 @@
+/** How late a reader in touch with the store learns of changes while its watchers have troubles. */
+import process from 'node:process';
+import 'reflect-metadata';
+import test from 'ava';
+import {
+	CheckPace,
+	SeededRandom,
+	type Millis,
+	type Random,
+} from '@kingcuproute/core';
+import {Mesh, type Handler, type MeshError, type Rpc} from '@kingcuproute/mesh';
+import {
+	ObjectStore,
+	type ObjectError,
+	type StoredObject,
+} from '@kingcuproute/platform';
+import {Left, Right, type Either} from 'purify-ts';
+import {pino} from 'pino';
+import {GatewayMetrics} from '../src/gateway/gateway-metrics.js';
+import {KindFollower} from '../src/gateway/kind-follower.js';
+import {ObservedStore} from '../src/gateway/observed-store.js';
+import {PeerLink} from '../src/gateway/peer-link.js';
+import {RelayAnswers} from '../src/gateway/relay-answers.js';
+import {RelayedStore} from '../src/gateway/relayed-store.js';
+import {StoreContact} from '../src/gateway/store-contact.js';
+import {LineStream} from '../src/log/line-stream.js';
+import {Log} from '../src/log/log.js';
+import {ManualClock} from './timers.js';
+
+const kind = 'k';
+/** The least time within which the users' sites ask for a change to be in force. */
+const applyMs: Millis = 2000;
+const stepMs: Millis = 20;
+/** As the store's client bounds its calls. */
+const callMs: Millis = 1500;
+const slackMs: Millis = 1000;
+const log = new Log(pino({base: {}}, new LineStream(() => undefined)));
+
+/** How something reacts to calls. */
+type Mode = 'answers' | 'refuses' | 'silent';
+
+/** The versions of one object, and when each was written. */
+class Versions {
+	readonly writtenAt: Millis[] = [];
+
+	constructor(private readonly clock: ManualClock) {}
+
+	get newest(): number {
+		return this.writtenAt.length;
+	}
+
+	write(): void {
+		this.writtenAt.push(this.clock.now());
+	}
+}
+
+/** The store as one daemon reaches it. */
+class ReachedStore extends ObjectStore {
+	mode: Mode = 'answers';
+
+	constructor(
+		private readonly versions: Versions,
+		private readonly clock: ManualClock,
+	) {
+		super();
+	}
+
+	override async list() {
+		const failure = await this.#failure(callMs);
+		const {newest: revision} = this.versions;
+		return failure ?? Right({revision, objects: [this.#object(revision)]});
+	}
+
+	override async watch(_kind: string, revision: number, waitMs: Millis) {
+		const until = this.clock.now() + waitMs;
+		while (
+			this.clock.now() < until &&
+			this.mode === 'answers' &&
+			this.versions.newest === revision
+		) {
+			await this.clock.sleep(stepMs);
+		}
+
+		const leftMs = Math.max(0, until - this.clock.now());
+		const failure = await this.#failure(
+			waitMs === 0 ? callMs : leftMs + slackMs,
+		);
+		const {newest} = this.versions;
+		const changes =
+			newest > revision ? [{object: this.#object(newest), removed: false}] : [];
+		return failure ?? Right({revision: newest, changes});
+	}
+
+	override async write(): Promise<never> {
+		throw new Error('not used');
+	}
+
+	override async remove(): Promise<never> {
+		throw new Error('not used');
+	}
+
+	#object(revision: number): StoredObject {
+		return {name: 'a', revision, spec: {}, status: undefined, rest: {}};
+	}
+
+	async #failure(timeoutMs: Millis) {
+		if (this.mode === 'refuses') {
+			return Left<ObjectError>({kind: 'refused', message: 'refused'});
+		}
+
+		if (this.mode === 'silent') {
+			await this.clock.sleep(timeoutMs);
+			return Left<ObjectError>({kind: 'unknown', message: 'no answer'});
+		}
+
+		return undefined;
+	}
+}
+
+/** Calls to watchers, of which some do not answer. */
+class SilentMesh extends Mesh {
+	readonly silent = new Set<string>();
+	/** Handlers are registered for this daemon. */
+	at = '';
+	readonly #handlers = new Map<string, (question: unknown) => unknown>();
+
+	constructor(private readonly clock: ManualClock) {
+		super();
+	}
+
+	override serve<Q, A>({path}: Rpc<Q, A>, handler: Handler<Q, A>): void {
+		this.#handlers.set(`${this.at} ${path}`, handler as () => unknown);
+	}
+
+	override async call<Q, A>(
+		address: string,
+		{path}: Rpc<Q, A>,
+		question: Q,
+		timeoutMs: Millis,
+	): Promise<Either<MeshError, A>> {
+		const handler = this.#handlers.get(`${address} ${path}`)!;
+		const late = async () => {
+			await this.clock.sleep(timeoutMs);
+			return Left<MeshError>({kind: 'unreachable', message: 'late'});
+		};
+
+		const answer = async () => {
+			await this.clock.sleep(1);
+			try {
+				const answered = (await handler(question)) as A;
+				return this.silent.has(address) ? await late() : Right(answered);
+			} catch (error) {
+				return Left<MeshError>({kind: 'refused', message: String(error)});
+			}
+		};
+
+		return this.silent.has(address) ? late() : Promise.race([answer(), late()]);
+	}
+}
+
+/** Watchers, two in each of two domains, and a reader in the first of these. */
+class RelayedFleet {
+	readonly clock = new ManualClock();
+	readonly versions = new Versions(this.clock);
+	readonly mesh = new SilentMesh(this.clock);
+	readonly stores = new Map<string, ReachedStore>();
+	readonly reader: KindFollower;
+	/** How late the reader had each version. */
+	readonly delays: Millis[] = [];
+
+	constructor(readonly random: Random) {
+		this.versions.write();
+		const watchers = ['a1', 'a2', 'b1', 'b2'];
+		for (const vm of watchers) {
+			this.#addWatcher(vm);
+		}
+
+		const {clock, mesh} = this;
+		const metrics = new GatewayMetrics();
+		const contact = new StoreContact(clock, {serverReportMs: 870});
+		const link = new PeerLink({mesh, contact, clock, random, metrics, log});
+		const store = new RelayedStore({
+			store: new ObservedStore(
+				new ReachedStore(this.versions, clock),
+				metrics,
+				contact,
+			),
+			contact,
+			clock,
+			random,
+			metrics,
+			log,
+			startsStale: true,
+		});
+		store.setPeers(link);
+		this.reader = this.#follow(store, 1500);
+		let known = 0;
+		this.reader.objects.subscribe((objects) => {
+			const revision = objects?.get('a')?.revision ?? 0;
+			for (; known < revision; known++) {
+				this.delays.push(clock.now() - this.versions.writtenAt[known]);
+			}
+		});
+		link.setPeers(
+			watchers.map((vm) => ({vm, failureDomain: vm[0], address: vm})),
+		);
+	}
+
+	#addWatcher(vm: string): void {
+		const {clock, mesh} = this;
+		const contact = new StoreContact(clock, {serverReportMs: 870});
+		const store = new ReachedStore(this.versions, clock);
+		this.stores.set(vm, store);
+		const observed = new ObservedStore(store, new GatewayMetrics(), contact);
+		const follower = this.#follow(observed, 300);
+		mesh.at = vm;
+		new RelayAnswers({
+			followers: new Map([[kind, follower]]),
+			contact,
+			clock,
+			isReady: () => follower.objects.value !== undefined,
+			onUnready: () => undefined,
+		}).serveOn(mesh);
+	}
+
+	#follow(store: ObjectStore, gapMs: Millis): KindFollower {
+		const {clock, random} = this;
+		const checkPace = CheckPace.within(3000);
+		checkPace.gapMs = gapMs;
+		const context = {store, clock, random, log, checkPace};
+		const follower = new KindFollower(kind, context);
+		follower.start();
+		return follower;
+	}
+}
+
+/** Plays troubles of up to `count` watchers at a time, at random moments, and writes a version at each; returns the longest delay. */
+async function longestDelay(seed: number, count: number): Promise<Millis> {
+	const fleet = new RelayedFleet(new SeededRandom(seed));
+	const {random, clock, versions, mesh, stores} = fleet;
+	await clock.advance(5000);
+	fleet.delays.length = 0;
+	for (let step = 0; step < 12; step++) {
+		mesh.silent.clear();
+		for (const store of stores.values()) {
+			store.mode = 'answers';
+		}
+
+		const names = [...stores.keys()];
+		for (let index = 0; index < count; index++) {
+			const [vm] = names.splice(random.below(names.length), 1);
+			const trouble = random.below(3);
+			if (trouble === 0) {
+				mesh.silent.add(vm);
+			} else {
+				stores.get(vm)!.mode = trouble === 1 ? 'refuses' : 'silent';
+			}
+		}
+
+		await clock.advance(random.below(1500));
+		versions.write();
+		await clock.advance(2500 + random.below(6000));
+	}
+
+	await clock.advance(20_000);
+	return Math.max(...fleet.delays);
+}
+
+for (const count of [1, 2, 3, 4]) {
+	test(`a reader in touch with the store has each change in time while ${count} of 4 watchers are silent or without the store`, async (t) => {
+		for (let run = 0; run < 10; run++) {
+			const seed = Number(process.env.SEED) + run;
+			const delayMs = await longestDelay(seed, count);
+			t.true(delayMs <= applyMs, `seed ${seed}: ${delayMs} ms`);
+		}
+	});
+}
