Take answers of watchers that come late, and give them more time where recent ones took longer

Cause: a watcher that had not answered within its hold and 400 ms was left, and its answer, on its way, was dropped. The class: a fixed time-out that takes a slow way for a dead peer, and an answer to it that adds to the load.

Change: the answer is taken when it comes, and proves its peer again; the time for an answer is twice the recent delay, from 400 to 900 ms.

Evidence: daemon/relay-delays "a reader whose messages are slow ...", failed before: calls to the store at messages of 250 ms.

--- a/packages/daemon/src/gateway/gateway-exchange.ts
+++ b/packages/daemon/src/gateway/gateway-exchange.ts
@@ -154,7 +154,7 @@
 		const until =
 			arrivedAt + Math.min(allowedMs, rule.timeoutMs) - replyMarginMs;
 		this.#until = until;
-		this.#refuseWhenLate(until - arrivedAt - minAttemptMs);
+		this.#refuseWhenLate();
 		const body = await this.#readBody(maxBodyLen);
 		if (!body) {
 			return undefined;
@@ -184,9 +184,11 @@
 	}
 
 	/** Ends the wait for the body, or for the requests before this one, when no time is left for an attempt. */
-	#refuseWhenLate(afterMs: Millis): void {
+	#refuseWhenLate(): void {
 		const {clock} = this.context;
-		const cancel = clock.after(afterMs + 1, () => {
+		const leftMs = this.#until - clock.now();
+		// A timer may fire a little early.
+		const cancel = clock.after(leftMs - minAttemptMs + 1, () => {
 			if (!this.#attempt) {
 				this.refuseIfWaiting();
 			}
--- a/packages/daemon/src/gateway/peer-link.ts
+++ b/packages/daemon/src/gateway/peer-link.ts
@@ -33,11 +33,16 @@
 
 /** For how long a peer may hold a call. Halving it would double the calls, and notice silence little sooner. */
 const holdMs: Millis = 400;
-/** Time for an answer beyond the hold. Small VMs are slow to read one while requests take their processor. */
-const slackMs: Millis = 400;
+/** Time for an answer beyond the hold, more where recent answers took longer. Small VMs are slow to read one while requests take their processor or their link. */
+const minSlackMs: Millis = 400;
+const maxSlackMs: Millis = 900;
+/** Answers may take this many times as long as recent ones. */
+const slackFactor = 2;
+/** Weight of an earlier delay with each answer after it. */
+const delayDecay = 0.8;
 /** A timer that fires late may come before an answer that has arrived; this lets the answer be read. */
 const readMs: Millis = 20;
-/** Time for calls that carry much or open a connection; ends a call that nobody waits for. */
+/** Time for calls that carry much or open a connection, and for answers that come late. */
 const callMs: Millis = 1500;
 /** Kinds of object are read again together after an answer. */
 const collectMs: Millis = 5;
@@ -46,6 +51,9 @@
 /** Between two calls that a hurry adds. */
 const hurryMs: Millis = 100;
 
+/** No answer in time. */
+const silence = Left(undefined);
+
 type Interest = {
 	readonly since: number;
 	readonly resolve: (outcome: PeerOutcome) => void;
@@ -71,6 +79,8 @@
 	#isScheduled = false;
 	/** The peer that answered the last round. */
 	#current: string | undefined;
+	/** How long answers took of late, beyond their hold. */
+	#delayMs: Millis = 0;
 	readonly #cancelProbes: () => void;
 
 	constructor(private readonly context: LinkContext) {
@@ -193,14 +203,17 @@
 		const sentAt = clock.now();
 		const question = {holdMs: hold, interests};
 		const call = mesh.call(peer.address, follow, question, callMs);
-		const silent = this.#untilSilent(hold + slackMs);
-		const answer = this.#judge(await Promise.race([call, silent]));
+		const silent = this.#untilSilent(hold + this.#slackMs);
+		const outcome = await Promise.race([call, silent]);
 		this.#rounds.delete(round);
 		fold(
-			answer,
+			this.#judge(outcome),
 			(fault) => {
 				this.#fail(peer, fault);
 				void this.#ask();
+				if (outcome === silence) {
+					void this.#takeLate(peer, round, call, sentAt);
+				}
 			},
 			(read) => {
 				this.#deliver(peer, round, read, sentAt);
@@ -208,10 +221,32 @@
 		);
 	}
 
-	async #untilSilent(ms: Millis): Promise<Either<undefined, never>> {
+	get #slackMs(): Millis {
+		const slackMs = this.#delayMs * slackFactor;
+		return Math.min(maxSlackMs, Math.max(minSlackMs, slackMs));
+	}
+
+	async #untilSilent(ms: Millis): Promise<typeof silence> {
 		await this.context.clock.sleep(ms);
 		await this.context.clock.sleep(readMs);
-		return Left(undefined);
+		return silence;
+	}
+
+	/** Takes the answer of a peer that has been left for its silence: the way to it may be slow, and as slow to every other peer. */
+	async #takeLate(
+		peer: Watcher,
+		round: Round,
+		call: Promise<Either<unknown, FollowAnswerMessage>>,
+		sentAt: Millis,
+	): Promise<void> {
+		const answer = this.#judge(await call);
+		const wasUsable = this.isUsable;
+		answer.ifRight((read) => {
+			this.#deliver(peer, round, read, sentAt);
+			if (!wasUsable && this.isUsable) {
+				this.usable.publish(this.context.clock.now());
+			}
+		});
 	}
 
 	/** What an answer shows of the peer, and its content. */
@@ -263,6 +298,8 @@
 	): void {
 		const {clock, log} = this.context;
 		this.#standing.answered(peer.vm, clock.now());
+		const delayMs = clock.now() - sentAt - answer.heldMs;
+		this.#delayMs = Math.max(delayMs, this.#delayMs * delayDecay);
 		this.#hearOf(answer, sentAt);
 		if (this.#current !== peer.vm) {
 			this.#current = peer.vm;
--- a/packages/daemon/test/relay-delays.test.ts
+++ b/packages/daemon/test/relay-delays.test.ts
@@ -57,6 +57,7 @@
 /** The store as one daemon reaches it. */
 class ReachedStore extends ObjectStore {
 	mode: Mode = 'answers';
+	calls = 0;
 
 	constructor(
 		private readonly versions: Versions,
@@ -66,12 +67,14 @@
 	}
 
 	override async list() {
+		this.calls++;
 		const failure = await this.#failure(callMs);
 		const {newest: revision} = this.versions;
 		return failure ?? Right({revision, objects: [this.#object(revision)]});
 	}
 
 	override async watch(_kind: string, revision: number, waitMs: Millis) {
+		this.calls++;
 		const until = this.clock.now() + waitMs;
 		while (
 			this.clock.now() < until &&
@@ -120,6 +123,8 @@
 /** Calls to watchers, of which some do not answer. */
 class SilentMesh extends Mesh {
 	readonly silent = new Set<string>();
+	/** How long each message takes. */
+	delayMs: Millis = 1;
 	/** Handlers are registered for this daemon. */
 	at = '';
 	readonly #handlers = new Map<string, (question: unknown) => unknown>();
@@ -145,9 +150,10 @@
 		};
 
 		const answer = async () => {
-			await this.clock.sleep(1);
+			await this.clock.sleep(this.delayMs);
 			try {
 				const answered = (await handler(question)) as A;
+				await this.clock.sleep(this.delayMs);
 				return this.silent.has(address) ? await late() : Right(answered);
 			} catch (error) {
 				return Left<MeshError>({kind: 'refused', message: String(error)});
@@ -165,6 +171,8 @@
 	readonly mesh = new SilentMesh(this.clock);
 	readonly stores = new Map<string, ReachedStore>();
 	readonly reader: KindFollower;
+	/** The store as the reader reaches it. */
+	readonly ownStore = new ReachedStore(this.versions, this.clock);
 	/** How late the reader had each version. */
 	readonly delays: Millis[] = [];
 
@@ -180,11 +188,7 @@
 		const contact = new StoreContact(clock, {serverReportMs: 870});
 		const link = new PeerLink({mesh, contact, clock, random, metrics, log});
 		const store = new RelayedStore({
-			store: new ObservedStore(
-				new ReachedStore(this.versions, clock),
-				metrics,
-				contact,
-			),
+			store: new ObservedStore(this.ownStore, metrics, contact),
 			contact,
 			clock,
 			random,
@@ -275,3 +279,22 @@
 		}
 	});
 }
+
+test('a reader whose messages are slow keeps reading from its watchers, and has each change in time', async (t) => {
+	for (const delayMs of [100, 250, 350]) {
+		const fleet = new RelayedFleet(new SeededRandom(Number(process.env.SEED)));
+		const {clock, versions, mesh, ownStore, delays, random} = fleet;
+		await clock.advance(5000);
+		mesh.delayMs = delayMs;
+		await clock.advance(2000);
+		delays.length = 0;
+		ownStore.calls = 0;
+		for (let step = 0; step < 10; step++) {
+			versions.write();
+			await clock.advance(500 + random.below(3000));
+		}
+
+		t.is(ownStore.calls, 0, `${delayMs} ms: calls to the store`);
+		t.true(Math.max(...delays) <= applyMs, `${Math.max(...delays)} ms`);
+	}
+});
