Tell the time of a change by the last answer that was prompt, not by the hold of a poll

Cause: a poll that lasted longer than 500 ms was taken for one that the store had held; its answer may as well have been on its way.

Change: the change was made after the last answer of the kind, or after the last check of any poll that was answered within 100 ms: no earlier answer was then on its way.

--- a/packages/daemon/src/gateway/kind-follower.ts
+++ b/packages/daemon/src/gateway/kind-follower.ts
@@ -40,9 +40,6 @@
 /** Between two calls while the store does not answer; jittered, because all daemons retry. */
 const retryMs: Millis = 500;
 
-/** A poll that lasts longer than this had no change to report when it began: the store answers it at once otherwise. */
-const promptMs: Millis = 500;
-
 const maxNamesLogged = 10;
 
 export type Objects = ReadonlyMap<string, StoredObject>;
@@ -254,7 +251,6 @@
 
 	async #watch(since: number): Promise<string | undefined> {
 		this.#hadChanges = false;
-		const beganAt = this.context.clock.now();
 		const changeList = await this.#nextChanges(since);
 		if (!changeList) {
 			return undefined;
@@ -272,9 +268,8 @@
 			},
 			({revision, changes, unreadable = [], relay}) => {
 				this.#revision = Math.max(since, revision);
-				const now = this.context.clock.now();
-				const wasHeld = !relay && now - beganAt > promptMs;
-				this.#confirm(relay, wasHeld ? now : this.#knownAt);
+				const {promptSince} = this.context.checkPace;
+				this.#confirm(relay, Math.max(this.#knownAt, promptSince));
 				this.#knownAt = Math.max(this.#knownAt, this.#reading.confirmedAt);
 				this.#logUnreadable(unreadable);
 				this.#unreadable = new Set([...this.#unreadable, ...unreadable]);
@@ -330,7 +325,8 @@
 					return watched;
 				}
 
-				this.context.checkPace.begin(clock.now());
+				const beganAt = clock.now();
+				this.context.checkPace.begin(beganAt);
 				const missed = await store.watch(this.kind, since, 0, true);
 				if (missed.isLeft()) {
 					return missed;
@@ -341,6 +337,7 @@
 				}
 
 				this.#lastSuccessAt = clock.now();
+				this.context.checkPace.answered(beganAt, clock.now());
 			}
 		};
 
--- a/packages/daemon/test/kind-follower.test.ts
+++ b/packages/daemon/test/kind-follower.test.ts
@@ -33,6 +33,8 @@
 	watchesUnreadable = false;
 	unreadable: readonly string[] = [];
 	eraNumber = 0;
+	/** How long answers are on their way. */
+	wayMs = 0;
 
 	constructor(private readonly manualClock: ManualClock) {
 		super();
@@ -90,6 +92,10 @@
 		const changes = this.held
 			.filter((object) => object.revision > revision)
 			.map((object) => ({object, removed: false}));
+		if (this.wayMs > 0) {
+			await this.manualClock.sleep(this.wayMs);
+		}
+
 		return this.failing
 			? Left<ObjectError>({kind: 'refused', message: 'failing'})
 			: Right({revision: this.revision, changes});
@@ -372,3 +378,19 @@
 	t.regex(lost[0], /not meant for this/);
 	follower.stop();
 });
+
+test('a change is not taken for recent because the answer to a poll was long on its way', async (t) => {
+	const {clock, store, follower} = followerOfFakeStore();
+	store.endsOnChange = true;
+	follower.start();
+	await clock.advance(5000);
+	store.wayMs = 3000;
+	const changedAt = clock.now();
+	store.held = [storedObject('a', 2)];
+	await clock.advance(4000);
+	t.is(follower.objects.value!.get('a')!.revision, 2);
+	const {changedSince} = follower.reading;
+	t.true(changedSince <= changedAt, `${changedSince - changedAt} ms late`);
+	t.true(changedSince >= changedAt - outdatedMs / 2, 'a check was before');
+	follower.stop();
+});
