--- a/packages/daemon/src/gateway/gateway-exchange.ts
+++ b/packages/daemon/src/gateway/gateway-exchange.ts
@@ -42,6 +42,12 @@
 const ownerWaitShare = 0.3;
 const ownerPollMs: Millis = 25;
 
+const tooLate: RequestEnd = {
+	reason: 'too-late',
+	notRun: true,
+	retryAfterMs: 0,
+};
+
 export class GatewayExchange {
 	#request: RoutedRequest | undefined;
 	#attempt: GatewayAttempt | undefined;
@@ -187,10 +193,9 @@
 	#refuseWhenLate(): void {
 		const {clock} = this.context;
 		const leftMs = this.#until - clock.now();
-		// A timer may fire a little early.
-		const cancel = clock.after(leftMs - minAttemptMs + 1, () => {
+		const cancel = clock.after(leftMs - minAttemptMs, () => {
 			if (!this.#attempt) {
-				this.refuseIfWaiting();
+				this.#endNow(tooLate);
 			}
 		});
 		this.caller.turn.onceEnded(cancel);
@@ -364,9 +369,7 @@
 			return {reason: 'stopping', notRun: true, retryAfterMs: 0};
 		}
 
-		return until - now < minAttemptMs
-			? {reason: 'too-late', notRun: true, retryAfterMs: 0}
-			: undefined;
+		return until - now < minAttemptMs ? tooLate : undefined;
 	}
 
 	async #attemptAt(
