Give readings and the time for answers modules of their own, and share the fixture of relayed readers

- How a copy was read (Reading) is used by decisions as well as by the log, and leaves KindFollower.
- Whether a leaving server may still get a request was written twice (chooseCandidates, ServerNotices): LeavingServers says it.
- What a watcher says of its contact, and the failure that peers report, are StoreContact's own, in place of sums and infinities at its callers.
- Two test files had a fleet of watchers and a reader each; relayed-reader.ts has both.
No test or bound is changed, but for the names of the two watchers in peer-link.

--- a/packages/core/src/gateway/choose-candidates.ts
+++ b/packages/core/src/gateway/choose-candidates.ts
@@ -33,8 +33,8 @@
 		return {servers: serving, heldMs: undefined};
 	}
 
-	const usable = serving.filter(
-		(server) => (leaving.age(server, now) ?? 0) < leavingMs,
+	const usable = serving.filter((server) =>
+		leaving.mayTake(server, leavingMs, now),
 	);
 	const open = usable.filter((server) => holds.leftMs(server, now) === 0);
 	if (open.length === 0) {
--- a/packages/core/src/gateway/leaving-servers.ts
+++ b/packages/core/src/gateway/leaving-servers.ts
@@ -48,6 +48,11 @@
 		return notice && now - notice.since;
 	}
 
+	/** Whether the run may get requests that no other server can take: it has not been leaving for `leavingMs` yet, as far as is known. */
+	mayTake(run: ServerRun, leavingMs: Millis, now: Millis): boolean {
+		return (this.age(run, now) ?? 0) < leavingMs;
+	}
+
 	/** Forgets runs that have not been listed for a long time. */
 	prune(listed: readonly ServerRun[], now: Millis): void {
 		for (const run of listed) {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -409,6 +409,7 @@
 	type WaitingRequest,
 } from './gateway/queue-order.js';
 export {RetryPace, type RetryProspect} from './gateway/retry-pace.js';
+export {AnswerDelay} from './gateway/answer-delay.js';
 export {CheckPace} from './gateway/check-pace.js';
 export {connectionShare} from './gateway/connection-share.js';
 export {FleetSize} from './gateway/fleet-size.js';
--- a/packages/daemon/src/gateway/gateway-exchange.ts
+++ b/packages/daemon/src/gateway/gateway-exchange.ts
@@ -124,7 +124,7 @@
 		}
 	}
 
-	/** To be called when the servers in service have changed. */
+	/** To be called when the view changes: a server that was chosen may no longer be in service. */
 	reconsider(): void {
 		this.#attempt?.reconsider();
 	}
--- a/packages/daemon/src/gateway/kind-follower.ts
+++ b/packages/daemon/src/gateway/kind-follower.ts
@@ -24,6 +24,7 @@
 import {type Either} from 'purify-ts';
 import {type Log} from '../log/log.js';
 import {Topic} from '../task/topic.js';
+import {unread, type Reading} from './reading.js';
 
 /** Duration of a long poll: shorter than the store keeps its history. */
 const waitMs: Millis = 15_000;
@@ -46,16 +47,6 @@
 
 type ChangeList = Either<ObjectError, ObjectChanges>;
 
-/** How a copy of the objects was read, for the log. */
-export type Reading = {
-	/** When the store confirmed this copy, and when it last confirmed the one before; -Infinity if it has not. */
-	readonly confirmedAt: Millis;
-	readonly formerAt: Millis;
-	/** When the first of its changes was made, at the earliest; -Infinity if that is not known. */
-	readonly changedSince: Millis;
-	readonly byPeer: boolean;
-};
-
 export type FollowerContext = {
 	readonly store: ObjectStore;
 	readonly clock: Clock;
@@ -79,15 +70,9 @@
 	#hadChanges = false;
 	#lastFailureAt: Millis = -Infinity;
 	#lastSuccessAt: Millis = -Infinity;
-	/** When an answer that was not itself old last confirmed the objects. */
+	/** As `lastSuccessAt`, without answers that may be old. */
 	#knownAt: Millis = -Infinity;
-	#reading: Reading = {
-		confirmedAt: -Infinity,
-		formerAt: -Infinity,
-		changedSince: -Infinity,
-		byPeer: false,
-	};
-
+	#reading = unread;
 	#revision: number | undefined;
 	/** Whether the next reading comes from a peer, so that it costs the store no call. */
 	#isRelayed = false;
@@ -402,16 +387,3 @@
 		}
 	}
 }
-
-/** A reading in the log: the ages of this copy and of the one before, in ms. */
-export function readingFields(
-	{confirmedAt, formerAt, changedSince, byPeer}: Reading,
-	now: Millis,
-) {
-	return {
-		byPeer,
-		confirmedMs: Math.round(now - confirmedAt),
-		formerMs: Math.round(now - formerAt),
-		changedMs: Math.round(now - changedSince),
-	};
-}
--- a/packages/daemon/src/gateway/peer-link.ts
+++ b/packages/daemon/src/gateway/peer-link.ts
@@ -5,6 +5,7 @@
  * itself: one that comes late, twice or out of order changes nothing.
  */
 import {
+	AnswerDelay,
 	fold,
 	PeerStanding,
 	type Clock,
@@ -33,13 +34,6 @@
 
 /** For how long a peer may hold a call. Halving it would double the calls, and notice silence little sooner. */
 const holdMs: Millis = 400;
-/** Time for an answer beyond the hold, more where recent answers took longer. Small VMs are slow to read one while requests take their processor or their link. */
-const minSlackMs: Millis = 400;
-const maxSlackMs: Millis = 900;
-/** Answers may take this many times as long as recent ones. */
-const slackFactor = 2;
-/** Weight of an earlier delay with each answer after it. */
-const delayDecay = 0.8;
 /** A timer that fires late may come before an answer that has arrived; this lets the answer be read. */
 const readMs: Millis = 20;
 /** Time for calls that carry much or open a connection, and for answers that come late. */
@@ -79,8 +73,7 @@
 	#isScheduled = false;
 	/** The peer that answered the last round. */
 	#current: string | undefined;
-	/** How long answers took of late, beyond their hold. */
-	#delayMs: Millis = 0;
+	readonly #answerDelay = new AnswerDelay();
 	readonly #cancelProbes: () => void;
 
 	constructor(private readonly context: LinkContext) {
@@ -203,7 +196,7 @@
 		const sentAt = clock.now();
 		const question = {holdMs: hold, interests};
 		const call = mesh.call(peer.address, follow, question, callMs);
-		const silent = this.#untilSilent(hold + this.#slackMs);
+		const silent = this.#untilSilent(hold + this.#answerDelay.slackMs);
 		const outcome = await Promise.race([call, silent]);
 		this.#rounds.delete(round);
 		fold(
@@ -221,11 +214,6 @@
 		);
 	}
 
-	get #slackMs(): Millis {
-		const slackMs = this.#delayMs * slackFactor;
-		return Math.min(maxSlackMs, Math.max(minSlackMs, slackMs));
-	}
-
 	async #untilSilent(ms: Millis): Promise<typeof silence> {
 		await this.context.clock.sleep(ms);
 		await this.context.clock.sleep(readMs);
@@ -298,8 +286,7 @@
 	): void {
 		const {clock, log} = this.context;
 		this.#standing.answered(peer.vm, clock.now());
-		const delayMs = clock.now() - sentAt - answer.heldMs;
-		this.#delayMs = Math.max(delayMs, this.#delayMs * delayDecay);
+		this.#answerDelay.answered(clock.now() - sentAt - answer.heldMs);
 		this.#hearOf(answer, sentAt);
 		if (this.#current !== peer.vm) {
 			this.#current = peer.vm;
--- a/packages/daemon/src/gateway/relay-answers.ts
+++ b/packages/daemon/src/gateway/relay-answers.ts
@@ -218,14 +218,10 @@
 		heldMs: Millis,
 	): FollowAnswerMessage {
 		const {contact} = this.context;
-		const {lastAnswerAt, absence} = contact;
 		return {
 			heldMs,
-			unbrokenMs: Math.max(
-				0,
-				lastAnswerAt - (absence.answersSince ?? lastAnswerAt),
-			),
-			contactAgeMs: this.#ageOf(lastAnswerAt),
+			unbrokenMs: contact.unbrokenMs,
+			contactAgeMs: this.#ageOf(contact.lastAnswerAt),
 			failureAgeMs: this.#ageOf(contact.lastFailureAt),
 			readings,
 		};
--- a/packages/daemon/src/gateway/relayed-store.ts
+++ b/packages/daemon/src/gateway/relayed-store.ts
@@ -310,11 +310,7 @@
 		}
 
 		await clock.sleep(awayTickMs);
-		contact.heardOf({
-			answeredAt: -Infinity,
-			failedAt: clock.now(),
-			since: -Infinity,
-		});
+		contact.failed(clock.now());
 		return Left(storeAway);
 	}
 
--- a/packages/daemon/src/gateway/server-notices.ts
+++ b/packages/daemon/src/gateway/server-notices.ts
@@ -13,7 +13,7 @@
 import {inject, singleton} from 'tsyringe';
 import {Log} from '../log/log.js';
 import {GatewayMetrics} from './gateway-metrics.js';
-import {readingFields} from './kind-follower.js';
+import {readingFields} from './reading.js';
 import {ViewTask} from './view-task.js';
 
 /** After a failed call to the store, entries that arrive within this time may have changed long before. */
@@ -56,8 +56,7 @@
 
 	/** Whether the server may get a request that was meant for it some time ago. */
 	mayStart(server: ListedServer): boolean {
-		const age = this.leaving.age(server, this.clock.now());
-		return age === undefined || age < this.#leavingMs;
+		return this.leaving.mayTake(server, this.#leavingMs, this.clock.now());
 	}
 
 	/** Records that the server announced its leaving in an answer. */
--- a/packages/daemon/src/gateway/store-contact.ts
+++ b/packages/daemon/src/gateway/store-contact.ts
@@ -42,9 +42,22 @@
 		return this.#lastFailureAt > this.#lastAnswerAt;
 	}
 
+	/** For how long, up to the last answer, the store has answered without an absence. */
+	get unbrokenMs(): Millis {
+		const {answersSince} = this.absence;
+		return answersSince === undefined
+			? 0
+			: Math.max(0, this.#lastAnswerAt - answersSince);
+	}
+
+	/** Records that a call failed, or that one of a peer has, at `at`. */
+	failed(at: Millis): void {
+		this.#lastFailureAt = Math.max(this.#lastFailureAt, at);
+	}
+
 	/** Records the contact of the peer that this daemon reads from. */
 	heardOf({answeredAt, failedAt, since}: PeerContact): void {
-		this.#lastFailureAt = Math.max(this.#lastFailureAt, failedAt);
+		this.failed(failedAt);
 		if (answeredAt > this.#lastAnswerAt) {
 			this.#lastAnswerAt = answeredAt;
 			this.absence.heardOf({since, until: answeredAt});
--- a/packages/daemon/src/gateway/view-task.ts
+++ b/packages/daemon/src/gateway/view-task.ts
@@ -37,13 +37,9 @@
 import {Task} from '../task/task.js';
 import {Topic} from '../task/topic.js';
 import {GatewayMetrics} from './gateway-metrics.js';
-import {
-	KindFollower,
-	readingFields,
-	type Objects,
-	type Reading,
-} from './kind-follower.js';
+import {KindFollower, type Objects} from './kind-follower.js';
 import {ObjectReader} from './object-reader.js';
+import {readingFields, type Reading} from './reading.js';
 import {RelayedStore} from './relayed-store.js';
 import {StoreContact} from './store-contact.js';
 
--- a/packages/daemon/test/peer-link.test.ts
+++ b/packages/daemon/test/peer-link.test.ts
@@ -1,7 +1,7 @@
 import process from 'node:process';
 import 'reflect-metadata';
 import test from 'ava';
-import {CheckPace, SeededRandom, type Random} from '@kingcuproute/core';
+import {SeededRandom, type Random} from '@kingcuproute/core';
 import {Mesh, type Handler, type MeshError, type Rpc} from '@kingcuproute/mesh';
 import {
 	ObjectStore,
@@ -10,22 +10,13 @@
 	type StoredObject,
 } from '@kingcuproute/platform';
 import {Left, Right, type Either} from 'purify-ts';
-import {pino} from 'pino';
-import {GatewayMetrics} from '../src/gateway/gateway-metrics.js';
-import {KindFollower} from '../src/gateway/kind-follower.js';
-import {ObservedStore} from '../src/gateway/observed-store.js';
-import {PeerLink} from '../src/gateway/peer-link.js';
-import {RelayAnswers} from '../src/gateway/relay-answers.js';
-import {RelayedStore} from '../src/gateway/relayed-store.js';
+import {type KindFollower} from '../src/gateway/kind-follower.js';
 import {StoreContact} from '../src/gateway/store-contact.js';
-import {LineStream} from '../src/log/line-stream.js';
-import {Log} from '../src/log/log.js';
+import {serverReportMs, startReader, startWatcher} from './relayed-reader.js';
 import {ManualClock} from './timers.js';
 
-const kind = 'k';
 /** After a change the store answers a poll within this time. */
 const storeDelayMs = 20;
-const log = new Log(pino({base: {}}, new LineStream(() => undefined)));
 
 /** A store with its whole history. */
 class HistoryStore extends ObjectStore {
@@ -160,66 +151,23 @@
 	readonly store = new HistoryStore(this.clock);
 	readonly mesh: FaultyMesh;
 	readonly reader: KindFollower;
-	readonly contact = new StoreContact(this.clock, {serverReportMs: 870});
+	readonly contact = new StoreContact(this.clock, {serverReportMs});
 	readonly watchers: KindFollower[] = [];
 
 	constructor(seed: number) {
 		this.random = new SeededRandom(seed);
 		this.mesh = new FaultyMesh(this.clock, this.random);
 		this.store.change('a', false);
-		for (const vm of ['w1', 'w2']) {
-			this.#addWatcher(vm);
+		const watchers = ['w1', 'x1'];
+		for (const vm of watchers) {
+			this.mesh.at = vm;
+			const watcher = startWatcher(this, this.store);
+			// Shorter than the contact age at which it is left, as no other kind is polled meanwhile.
+			watcher.gatherMs = 400;
+			this.watchers.push(watcher);
 		}
 
-		const {clock, random, mesh, contact} = this;
-		const metrics = new GatewayMetrics();
-		const link = new PeerLink({mesh, contact, clock, random, metrics, log});
-		const store = new RelayedStore({
-			store: new ObservedStore(this.store, metrics, contact),
-			contact,
-			clock,
-			random,
-			metrics,
-			log,
-			startsStale: true,
-		});
-		store.setPeers(link);
-		this.reader = this.#follow(store);
-		link.setPeers([
-			{vm: 'w1', failureDomain: 'a', address: 'w1'},
-			{vm: 'w2', failureDomain: 'b', address: 'w2'},
-		]);
-	}
-
-	#addWatcher(vm: string): void {
-		const {clock, mesh} = this;
-		const contact = new StoreContact(clock, {serverReportMs: 870});
-		const metrics = new GatewayMetrics();
-		const follower = this.#follow(
-			new ObservedStore(this.store, metrics, contact),
-			300,
-		);
-		// Shorter than the contact age at which it is left, as no other kind is polled meanwhile.
-		follower.gatherMs = 400;
-		this.watchers.push(follower);
-		mesh.at = vm;
-		new RelayAnswers({
-			followers: new Map([[kind, follower]]),
-			contact,
-			clock,
-			isReady: () => follower.objects.value !== undefined,
-			onUnready: () => undefined,
-		}).serveOn(mesh);
-	}
-
-	#follow(store: ObjectStore, gapMs = 1500): KindFollower {
-		const {clock, random} = this;
-		const checkPace = CheckPace.within(3000);
-		checkPace.gapMs = gapMs;
-		const context = {store, clock, random, log, checkPace};
-		const follower = new KindFollower(kind, context);
-		follower.start();
-		return follower;
+		this.reader = startReader(this, this.store, this.contact, watchers);
 	}
 }
 
--- a/packages/daemon/test/relay-delays.test.ts
+++ b/packages/daemon/test/relay-delays.test.ts
@@ -2,12 +2,7 @@
 import process from 'node:process';
 import 'reflect-metadata';
 import test from 'ava';
-import {
-	CheckPace,
-	SeededRandom,
-	type Millis,
-	type Random,
-} from '@kingcuproute/core';
+import {SeededRandom, type Millis, type Random} from '@kingcuproute/core';
 import {Mesh, type Handler, type MeshError, type Rpc} from '@kingcuproute/mesh';
 import {
 	ObjectStore,
@@ -15,26 +10,17 @@
 	type StoredObject,
 } from '@kingcuproute/platform';
 import {Left, Right, type Either} from 'purify-ts';
-import {pino} from 'pino';
-import {GatewayMetrics} from '../src/gateway/gateway-metrics.js';
-import {KindFollower} from '../src/gateway/kind-follower.js';
-import {ObservedStore} from '../src/gateway/observed-store.js';
-import {PeerLink} from '../src/gateway/peer-link.js';
-import {RelayAnswers} from '../src/gateway/relay-answers.js';
-import {RelayedStore} from '../src/gateway/relayed-store.js';
+import {type KindFollower} from '../src/gateway/kind-follower.js';
 import {StoreContact} from '../src/gateway/store-contact.js';
-import {LineStream} from '../src/log/line-stream.js';
-import {Log} from '../src/log/log.js';
+import {serverReportMs, startReader, startWatcher} from './relayed-reader.js';
 import {ManualClock} from './timers.js';
 
-const kind = 'k';
 /** The least time within which the users' sites ask for a change to be in force. */
 const applyMs: Millis = 2000;
 const stepMs: Millis = 20;
 /** As the store's client bounds its calls. */
 const callMs: Millis = 1500;
 const slackMs: Millis = 1000;
-const log = new Log(pino({base: {}}, new LineStream(() => undefined)));
 
 /** How something reacts to calls. */
 type Mode = 'answers' | 'refuses' | 'silent';
@@ -179,25 +165,16 @@
 	constructor(readonly random: Random) {
 		this.versions.write();
 		const watchers = ['a1', 'a2', 'b1', 'b2'];
+		const {clock, mesh} = this;
 		for (const vm of watchers) {
-			this.#addWatcher(vm);
+			const store = new ReachedStore(this.versions, clock);
+			this.stores.set(vm, store);
+			mesh.at = vm;
+			startWatcher(this, store);
 		}
 
-		const {clock, mesh} = this;
-		const metrics = new GatewayMetrics();
-		const contact = new StoreContact(clock, {serverReportMs: 870});
-		const link = new PeerLink({mesh, contact, clock, random, metrics, log});
-		const store = new RelayedStore({
-			store: new ObservedStore(this.ownStore, metrics, contact),
-			contact,
-			clock,
-			random,
-			metrics,
-			log,
-			startsStale: true,
-		});
-		store.setPeers(link);
-		this.reader = this.#follow(store, 1500);
+		const contact = new StoreContact(clock, {serverReportMs});
+		this.reader = startReader(this, this.ownStore, contact, watchers);
 		let known = 0;
 		this.reader.objects.subscribe((objects) => {
 			const revision = objects?.get('a')?.revision ?? 0;
@@ -205,36 +182,6 @@
 				this.delays.push(clock.now() - this.versions.writtenAt[known]);
 			}
 		});
-		link.setPeers(
-			watchers.map((vm) => ({vm, failureDomain: vm[0], address: vm})),
-		);
-	}
-
-	#addWatcher(vm: string): void {
-		const {clock, mesh} = this;
-		const contact = new StoreContact(clock, {serverReportMs: 870});
-		const store = new ReachedStore(this.versions, clock);
-		this.stores.set(vm, store);
-		const observed = new ObservedStore(store, new GatewayMetrics(), contact);
-		const follower = this.#follow(observed, 300);
-		mesh.at = vm;
-		new RelayAnswers({
-			followers: new Map([[kind, follower]]),
-			contact,
-			clock,
-			isReady: () => follower.objects.value !== undefined,
-			onUnready: () => undefined,
-		}).serveOn(mesh);
-	}
-
-	#follow(store: ObjectStore, gapMs: Millis): KindFollower {
-		const {clock, random} = this;
-		const checkPace = CheckPace.within(3000);
-		checkPace.gapMs = gapMs;
-		const context = {store, clock, random, log, checkPace};
-		const follower = new KindFollower(kind, context);
-		follower.start();
-		return follower;
 	}
 }
 
--- /dev/null
+++ b/packages/daemon/test/relayed-reader.ts
@@ -0,0 +1,94 @@
+/** The parts of a fleet that reads the store through watchers, on a manual clock. */
+import {CheckPace, type Millis, type Random} from '@kingcuproute/core';
+import {type Mesh} from '@kingcuproute/mesh';
+import {type ObjectStore} from '@kingcuproute/platform';
+import {pino} from 'pino';
+import {GatewayMetrics} from '../src/gateway/gateway-metrics.js';
+import {KindFollower} from '../src/gateway/kind-follower.js';
+import {ObservedStore} from '../src/gateway/observed-store.js';
+import {PeerLink} from '../src/gateway/peer-link.js';
+import {RelayAnswers} from '../src/gateway/relay-answers.js';
+import {RelayedStore} from '../src/gateway/relayed-store.js';
+import {StoreContact} from '../src/gateway/store-contact.js';
+import {LineStream} from '../src/log/line-stream.js';
+import {Log} from '../src/log/log.js';
+import {type ManualClock} from './timers.js';
+
+/** The kind of object that is followed. */
+export const kind = 'k';
+export const serverReportMs: Millis = 870;
+/** As long as the users' sites allow outdated state after a disturbance. */
+const outdatedMs: Millis = 3000;
+/** Between two checks of a poll. */
+const watcherGapMs: Millis = 300;
+const readerGapMs: Millis = 1500;
+const log = new Log(pino({base: {}}, new LineStream(() => undefined)));
+
+/** What all daemons of the fleet share. */
+export type FleetParts = {
+	readonly clock: ManualClock;
+	readonly random: Random;
+	readonly mesh: Mesh;
+};
+
+/** Follows the store by itself and answers those who read through it; the mesh registers its handlers for it. */
+export function startWatcher(
+	{clock, random, mesh}: FleetParts,
+	store: ObjectStore,
+): KindFollower {
+	const contact = new StoreContact(clock, {serverReportMs});
+	const observed = new ObservedStore(store, new GatewayMetrics(), contact);
+	const follower = follow(observed, {clock, random}, watcherGapMs);
+	new RelayAnswers({
+		followers: new Map([[kind, follower]]),
+		contact,
+		clock,
+		isReady: () => follower.objects.value !== undefined,
+		onUnready: () => undefined,
+	}).serveOn(mesh);
+	return follower;
+}
+
+/** Reads through watchers, whose names are their addresses and begin with their failure domains, or from `store`. */
+export function startReader(
+	{clock, random, mesh}: FleetParts,
+	store: ObjectStore,
+	contact: StoreContact,
+	watchers: readonly string[],
+): KindFollower {
+	const metrics = new GatewayMetrics();
+	const link = new PeerLink({mesh, contact, clock, random, metrics, log});
+	const relayed = new RelayedStore({
+		store: new ObservedStore(store, metrics, contact),
+		contact,
+		clock,
+		random,
+		metrics,
+		log,
+		startsStale: true,
+	});
+	relayed.setPeers(link);
+	const reader = follow(relayed, {clock, random}, readerGapMs);
+	link.setPeers(
+		watchers.map((vm) => ({vm, failureDomain: vm[0], address: vm})),
+	);
+	return reader;
+}
+
+function follow(
+	store: ObjectStore,
+	{clock, random}: Pick<FleetParts, 'clock' | 'random'>,
+	gapMs: Millis,
+): KindFollower {
+	const checkPace = CheckPace.within(outdatedMs);
+	checkPace.gapMs = gapMs;
+	const follower = new KindFollower(kind, {
+		store,
+		clock,
+		random,
+		log,
+		checkPace,
+	});
+	follower.start();
+	return follower;
+}
