Log how busy servers are after moves of keys, beside how busy they were to be

A plan rests on reported rates that are a second old. Nothing told whether the servers that took keys had the planned load afterwards, so that an overshooting plan, late reports and new load looked alike. A line load-after-moves names, 1.5 s after moves, the takers and the busiest servers with both figures.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -296,6 +296,7 @@
 	type ServiceRates,
 } from './gateway/report-plan.js';
 export {partitionPoint} from './gateway/partition-point.js';
+export {keyLoads, type KeyLoads} from './gateway/key-loads.js';
 export {planLoadMoves, type LoadPlanBounds} from './gateway/load-plan.js';
 export {planTidyMoves} from './gateway/tidy-plan.js';
 export {timelyRate, timelyRates} from './gateway/timely-rate.js';
--- a/packages/daemon/src/gateway/key-planner.ts
+++ b/packages/daemon/src/gateway/key-planner.ts
@@ -26,6 +26,7 @@
 import {type Log} from '../log/log.js';
 import {type MoveCause} from './gateway-metrics.js';
 import {type KeyGrants} from './key-grants.js';
+import {PlannedLoads} from './planned-loads.js';
 
 /** Pause after moves by load: about as long as they take. At 700 ms, the table was written 1.3 times as often, and 0.1% fewer requests were answered in time (design/key-placement.md). */
 const settleMs: Millis = 1000;
@@ -55,6 +56,7 @@
 export class KeyPlanner {
 	readonly #budget = new MoveBudget();
 	readonly #steady = new SteadyTraffic();
+	readonly #plannedLoads: PlannedLoads;
 	#nextCheckAt: Millis = -Infinity;
 	#nextEvenOutAt: Millis = -Infinity;
 	/** What the last plan was made from, and when. */
@@ -63,7 +65,9 @@
 	constructor(
 		private readonly context: KeyPlannerContext,
 		private readonly grants: Pick<KeyGrants, 'hasEnded' | 'isReleaseFinal'>,
-	) {}
+	) {
+		this.#plannedLoads = new PlannedLoads(context);
+	}
 
 	/** The moves to begin now. Planned as if the pending moves were done; none includes keys of a pending one. */
 	plan(table: RangeTable, pending: readonly KeyMove[]): readonly KeyMove[] {
@@ -110,6 +114,7 @@
 		}
 
 		const observed = traffic();
+		this.#plannedLoads.observe(table, servers, observed);
 		const isPlanned =
 			observed === this.#planned?.traffic &&
 			now - this.#planned.at < sameTrafficMs;
@@ -148,6 +153,8 @@
 
 		if (moves.length > 0) {
 			this.#recordMoves(moves, observed, bounds);
+			const planned = applyMoves(table, moves);
+			this.#plannedLoads.expect(planned, servers, observed, moves);
 		}
 
 		return moves;
