Ask a watcher with a shorter history from the list that it gave

Cause: a reader has reached revision 100 with content 5 and changes to a watcher whose first copy is as of 50 and which has followed up to 90. The list is offered as (90, 50) and taken as reached 100, which the reader had reached before, so that the content stayed 5: the next question was expired again, until the watcher's revision passed 100.

Change: the content that was offered counts also where the reached revision is the same. A reader known to be current as of a revision has every change up to it, so a content up to there is never ahead of what it has.

Test: relay-lists, on the fake clock: 10 s on such a watcher took hundreds of lists, failed before; now one. kind-position: content was 5 in place of 50.

--- a/packages/core/src/gateway/kind-position.ts
+++ b/packages/core/src/gateway/kind-position.ts
@@ -42,12 +42,10 @@
 
 	/** Records that the reader has the objects as of `revision`. */
 	take(revision: number): void {
-		if (revision !== this.#reached) {
-			// Of a reading that is not known the whole time until its revision may hold changes.
-			this.#content = this.#offers.get(revision) ?? revision;
-			this.#reached = revision;
-		}
-
+		const known = revision === this.#reached ? this.#content : revision;
+		// A reading of another watcher may have been reached before, and its content be that watcher's first copy.
+		this.#content = this.#offers.get(revision) ?? known;
+		this.#reached = revision;
 		this.#offers.clear();
 	}
 }
