Pause before a kind is listed again whose changes could not be followed

Class of the fault before: asking again at the pace of the link where the answer is always the same. The first list of a series is still made at once.

--- a/packages/daemon/src/gateway/kind-follower.ts
+++ b/packages/daemon/src/gateway/kind-follower.ts
@@ -41,6 +41,9 @@
 /** Between two calls while the store does not answer; jittered, because all daemons retry. */
 const retryMs: Millis = 500;
 
+/** Between two lists of a kind whose changes could not be followed from the first one; jittered, because all daemons lose a history together. */
+const relistMs: Millis = 500;
+
 const maxNamesLogged = 10;
 
 export type Objects = ReadonlyMap<string, StoredObject>;
@@ -68,6 +71,8 @@
 	#isUrgent = false;
 	#endGathering: (() => void) | undefined;
 	#hadChanges = false;
+	/** When the kind was last listed because its changes could not be followed. */
+	#relistedAt: Millis = -Infinity;
 	#lastFailureAt: Millis = -Infinity;
 	#lastSuccessAt: Millis = -Infinity;
 	/** As `lastSuccessAt`, without answers that may be old. */
@@ -172,8 +177,12 @@
 	/** Makes one call to the store; returns the error, if any. An exception while the answer is processed counts as a failed call. */
 	async #poll(isSlow: boolean): Promise<string | undefined> {
 		try {
-			return this.#revision === undefined || isSlow
-				? await this.#list(isSlow)
+			if (isSlow) {
+				return await this.#list(true);
+			}
+
+			return this.#revision === undefined
+				? await this.#relist()
 				: await this.#watch(this.#revision);
 		} catch (error) {
 			const {message, stack} = error as Error;
@@ -196,6 +205,19 @@
 		}
 	}
 
+	/** Lists at once, unless the last such list was of no use for following changes. */
+	async #relist(): Promise<string | undefined> {
+		const {clock, random} = this.context;
+		const sinceMs = clock.now() - this.#relistedAt;
+		if (sinceMs < relistMs) {
+			await clock.sleep(Math.max(0, random.jitter(relistMs) - sinceMs));
+		}
+
+		const error = await this.#list(false);
+		this.#relistedAt = error === undefined ? clock.now() : -Infinity;
+		return error;
+	}
+
 	async #list(stale: boolean): Promise<string | undefined> {
 		const listing = await this.context.store.list(this.kind, stale);
 		return fold(
--- a/packages/daemon/test/kind-follower.test.ts
+++ b/packages/daemon/test/kind-follower.test.ts
@@ -29,6 +29,8 @@
 	endsOnChange = false;
 	/** Whether the watch under way, or the next one, ends without an answer. */
 	cutsNextWatch = false;
+	/** Whether the history of changes is gone, whatever revision is asked from. */
+	forgets = false;
 	/** Whether answers to watches cannot be parsed. */
 	watchesUnreadable = false;
 	unreadable: readonly string[] = [];
@@ -71,6 +73,11 @@
 			return Left<ObjectError>({kind: 'unknown', message: 'no answer'});
 		}
 
+		if (this.forgets) {
+			await this.manualClock.sleep(10);
+			return Left<ObjectError>({kind: 'expired'});
+		}
+
 		const stepMs = this.endsOnChange ? 10 : waitMs;
 		for (let waited = 0; waited < waitMs; waited += stepMs) {
 			if (this.cutsNextWatch) {
@@ -394,3 +401,22 @@
 	t.true(changedSince >= changedAt - outdatedMs / 2, 'a check was before');
 	follower.stop();
 });
+
+test('a store that forgets its history again and again is listed a few times a second at the most', async (t) => {
+	const {clock, store, follower} = followerOfFakeStore();
+	follower.start();
+	await clock.advance(5000);
+	store.forgets = true;
+	store.endsOnChange = true;
+	await clock.advance(16_000);
+	store.calls.length = 0;
+	await clock.advance(10_000);
+	const lists = store.calls.filter((call) => call === 'list').length;
+	t.true(lists <= 40, `${lists} lists`);
+	t.true(lists >= 10, `${lists} lists`);
+	store.forgets = false;
+	store.held = [storedObject('a', 3)];
+	await clock.advance(2000);
+	t.is(follower.objects.value!.get('a')!.revision, 3);
+	follower.stop();
+});
