Take a server's own failure for a failure, not for a quick answer

Cause: any answer counted as a reading of the server's run time, and as a success. So a failing server passed for ten times as fast as the others, and drew requests (choice by expected time), expected work (admission) and, by the run times of the fleet, keys (plan).

Change: an answer with a status from 500 on ends as failed. It is no reading of a run time, and counts in the share of failures, which the choice already divides by.

--- a/packages/core/src/gateway/server-loads.ts
+++ b/packages/core/src/gateway/server-loads.ts
@@ -19,8 +19,9 @@
 	readonly slots: number;
 };
 
-/** How one request sent to a server ended, as far as that says something about the server. */
-export type SendOutcome = 'answered' | 'declined' | 'lost' | 'cancelled';
+/** How one request sent to a server ended, as far as that says something about the server: `failed` is an answer by which the server says that it failed. */
+export type SendOutcome =
+	'answered' | 'failed' | 'declined' | 'lost' | 'cancelled';
 
 /** Reported requests of other daemons count half after this time, the usual run time of a request. */
 const reportHalfLifeMs: Millis = 300;
@@ -60,7 +61,7 @@
 	runMsAt: Millis;
 	avoidUntil: Millis;
 	answeredAt: Millis;
-	/** The share of its recent requests that it declined or lost, as of `failShareAt`. */
+	/** The share of its recent requests that it declined, lost or failed, as of `failShareAt`. */
 	failShare: number;
 	failShareAt: Millis;
 };
--- a/packages/daemon/src/gateway/gateway-attempt.ts
+++ b/packages/daemon/src/gateway/gateway-attempt.ts
@@ -26,6 +26,8 @@
 /** Bodies and answers up to this many bytes are held whole: several times the longest uploads of today's sites. */
 export const holdLen = 1_048_576;
 const answerIdleMs: Millis = 10_000;
+/** The lowest HTTP status of a server's own failure. */
+const firstServerError = 500;
 /** Opening a connection takes far less. */
 const lateStartMs: Millis = 250;
 
@@ -59,6 +61,8 @@
 	/** The load that the server reported with its answer. */
 	#load: ServerLoad | undefined;
 	#isMisdirected = false;
+	/** Whether the server answers that it failed. */
+	#hasFailed = false;
 	readonly #lease: BufferLease;
 
 	constructor(
@@ -120,8 +124,10 @@
 		this.#countMoved(this.plan.bodyLen);
 		const end = await this.#attempt.ended;
 		this.#logLateStart(this.#attempt);
-		picks.loads.ended(backendServer, sendOutcome(end), clock.now());
-		if (end.kind === 'answered' && this.#load) {
+		const outcome = sendOutcome(end, this.#hasFailed);
+		picks.loads.ended(backendServer, outcome, clock.now());
+		// A failure may come long before the work is done, and would make the server pass for a fast one.
+		if (outcome === 'answered' && this.#load) {
 			const {latencyMs} = this.#attempt;
 			picks.loads.ran(backendServer, latencyMs, this.#load, clock.now());
 			picks.admission.ran(service.service, rule, latencyMs, this.#load);
@@ -232,6 +238,8 @@
 			return {kind: 'declined', retryAfterMs: undefined};
 		}
 
+		this.#hasFailed = status >= firstServerError;
+
 		if (encoded) {
 			return {kind: 'unusable', message: 'encoded body'};
 		}
@@ -263,14 +271,17 @@
 	}
 }
 
-function sendOutcome(end: AttemptEnd): SendOutcome {
+function sendOutcome(end: AttemptEnd, hasFailed: boolean): SendOutcome {
 	if (end.kind === 'unsent' && end.withdrawn) {
 		return 'cancelled';
 	}
 
 	const {kind} = end;
 	switch (kind) {
-		case 'answered':
+		case 'answered': {
+			return hasFailed ? 'failed' : kind;
+		}
+
 		case 'declined':
 		case 'cancelled': {
 			return kind;
