Go by a run time according to the number of answers that it rests on

Cause: the plan takes the run time of a server as exact, whatever it rests on, and gives keys to the server with most room. Of some 200 servers with one to five answers each, that is the one whose answers were the shortest by chance: it passes for up to six times as fast as it is. Nor does the next plan undo it: the load of that server is counted in the same measure.

Change: reports say how many answers each run time rests on; the plan takes it for as much nearer to the median as it rests on few. The first answers count alike in a daemon's moving average, where the first one outweighed the next six. Means over daemons are weighted by answers. In the relay message the weights take the place of the number of daemons.

--- a/packages/core/src/gateway/key-traffic.ts
+++ b/packages/core/src/gateway/key-traffic.ts
@@ -14,6 +14,8 @@
 	readonly rates: ReadonlyMap<number, number>;
 	/** How long a request runs at a server that is not full, in ms, by server. */
 	readonly runMs: ReadonlyMap<string, Millis>;
+	/** How many answers each run time rests on, by server; one that is not listed is taken as exact. */
+	readonly readings?: ReadonlyMap<string, number>;
 };
 
 /**
@@ -101,15 +103,20 @@
 	return weight * Math.exp((at - now) / trafficDecayMs);
 }
 
-/** The traffic of all daemons: the sum of their rates and the mean of their run times, without those of daemons that differ widely from most. */
+/** The traffic of all daemons: the sum of their rates and readings, and the mean of their run times, without those of daemons that differ widely from most. */
 export function totalTraffic(parts: readonly KeyTraffic[]): KeyTraffic {
 	const rates = new Map<number, number>();
 	const runTimes = new Map<string, Millis[]>();
+	const readings = new Map<string, number>();
 	for (const part of parts) {
 		for (const [key, rate] of part.rates) {
 			rates.set(key, (rates.get(key) ?? 0) + rate);
 		}
 
+		for (const [server, count] of part.readings ?? []) {
+			readings.set(server, (readings.get(server) ?? 0) + count);
+		}
+
 		for (const [server, runMs] of part.runMs) {
 			const times = runTimes.get(server);
 			if (times) {
@@ -123,7 +130,7 @@
 	const runMs = new Map(
 		[...runTimes].map(([server, times]) => [server, usualMean(times)] as const),
 	);
-	return {rates, runMs};
+	return {rates, runMs, readings};
 }
 
 /** The mean of the values near the median. */
--- a/packages/core/src/gateway/report-board.ts
+++ b/packages/core/src/gateway/report-board.ts
@@ -20,8 +20,8 @@
 	readonly traffic: ServiceRates;
 };
 
-/** The mean over a number of daemons. */
-export type MeanRunTime = {readonly runMs: Millis; readonly daemons: number};
+/** The mean over a number of answers. */
+export type MeanRunTime = {readonly runMs: Millis; readonly readings: number};
 
 /** By service and server. */
 export type ServiceRunTimes = ReadonlyMap<
@@ -136,10 +136,10 @@
 	sums: Map<string, MeanRunTime>,
 	servers: ReadonlyMap<string, MeanRunTime>,
 ): void {
-	for (const [server, {runMs, daemons}] of servers) {
-		const sum = sums.get(server) ?? {runMs: 0, daemons: 0};
-		const count = sum.daemons + daemons;
-		const mean = (sum.runMs * sum.daemons + runMs * daemons) / count;
-		sums.set(server, {runMs: mean, daemons: count});
+	for (const [server, {runMs, readings}] of servers) {
+		const sum = sums.get(server) ?? {runMs: 0, readings: 0};
+		const count = sum.readings + readings;
+		const mean = (sum.runMs * sum.readings + runMs * readings) / count;
+		sums.set(server, {runMs: mean, readings: count});
 	}
 }
--- a/packages/core/src/gateway/server-loads.ts
+++ b/packages/core/src/gateway/server-loads.ts
@@ -33,6 +33,8 @@
 const avoidDeclinedMs: Millis = 200;
 /** Weight of a new reading in the moving averages: a dozen readings outweigh all earlier ones. */
 const newReadingWeight = 0.15;
+/** A moving average rests on this many readings at the most: the weights of earlier ones add up to no more. */
+const maxReadings = Math.round(2 / newReadingWeight - 1);
 /** A run time or failure share without a new reading counts half after this time, so that the server is tried again. */
 const readingHalfLifeMs: Millis = 5000;
 /** The expected time of a request at an idle server, relative to the time that one more request per slot adds. */
@@ -58,6 +60,8 @@
 	reportedAt: Millis;
 	/** How long a request runs there once it need not wait, as of `runMsAt`; undefined before the first answer. */
 	runMs: Millis | undefined;
+	/** The number of answers that `runMs` rests on. */
+	readings: number;
 	runMsAt: Millis;
 	avoidUntil: Millis;
 	answeredAt: Millis;
@@ -150,7 +154,10 @@
 		const stats = this.#statsOf(server);
 		const runMs = tookMs / (1 + waiting / slots);
 		const previous = stats.runMs ?? runMs;
-		stats.runMs = previous + (runMs - previous) * newReadingWeight;
+		stats.readings = Math.min(maxReadings, stats.readings + 1);
+		// Until there are enough for a moving average, all count alike.
+		const weight = Math.max(newReadingWeight, 1 / stats.readings);
+		stats.runMs = previous + (runMs - previous) * weight;
 		stats.runMsAt = now;
 	}
 
@@ -167,6 +174,15 @@
 		return times;
 	}
 
+	/** How many answers the run time of each of `servers` rests on. */
+	readings(servers: readonly ListedServer[]): ReadonlyMap<string, number> {
+		const counts = servers.map(
+			({backendServer}) =>
+				[backendServer, this.#stats.get(backendServer)?.readings ?? 0] as const,
+		);
+		return new Map(counts.filter(([, count]) => count > 0));
+	}
+
 	/**
 	 * The server that is expected to answer first; undefined if all are full. A retry goes
 	 * to a server that has answered this daemon recently and has a free slot, if there is
@@ -331,6 +347,7 @@
 				others: 0,
 				reportedAt: -Infinity,
 				runMs: undefined,
+				readings: 0,
 				runMsAt: 0,
 				avoidUntil: 0,
 				answeredAt: -Infinity,
--- a/packages/core/src/gateway/timely-rate.ts
+++ b/packages/core/src/gateway/timely-rate.ts
@@ -18,6 +18,12 @@
 const fullLoad = 0.9;
 /** Run times are limited to the median times or divided by this: servers differ less in speed, so more is a wrong reading. */
 const maxRunTimeRatio = 6;
+/**
+ * A run time that rests on few answers is taken for nearer to the median, as if this many of
+ * the median had been among them: of many servers, some have had only short requests, and
+ * would pass for several times as fast as they are.
+ */
+const medianReadings = 4;
 /** Least share of its throughput that counts as a server's rate, so that a slow server still gets some keys. */
 const minRateShare = 0.1;
 /** Steps of the bisection: a precision of a thousandth. */
@@ -27,7 +33,7 @@
 /** Requests a second that each of `servers` answers in time, by server; undefined if no run time is known. Without `targetMs`, its throughput. */
 export function timelyRates(
 	servers: readonly ListedServer[],
-	{rates, runMs}: KeyTraffic,
+	{rates, runMs, readings}: KeyTraffic,
 	targetMs: Millis = Infinity,
 ): ReadonlyMap<string, number> | undefined {
 	const known = [...runMs.values()].filter(
@@ -41,7 +47,11 @@
 	const runTimes = new Map(
 		servers.map(({backendServer}) => [
 			backendServer,
-			plausibleRunMs(runMs.get(backendServer), medianMs),
+			likelyRunMs(
+				plausibleRunMs(runMs.get(backendServer), medianMs),
+				medianMs,
+				readings?.get(backendServer),
+			),
 		]),
 	);
 	const ratesFor = (lateShare: number) =>
@@ -113,6 +123,17 @@
 	return blocked / (1 - utilisation * (1 - blocked));
 }
 
+function likelyRunMs(
+	runMs: Millis,
+	medianMs: Millis,
+	readings = Infinity,
+): Millis {
+	return readings === Infinity
+		? runMs
+		: (readings * runMs + medianReadings * medianMs) /
+				(readings + medianReadings);
+}
+
 function plausibleRunMs(runMs: Millis | undefined, medianMs: Millis): Millis {
 	return runMs !== undefined && runMs > 0
 		? Math.min(
--- a/packages/core/test/gateway/key-load.test.ts
+++ b/packages/core/test/gateway/key-load.test.ts
@@ -3,6 +3,7 @@
 import {
 	isHeldBy,
 	joinRanges,
+	keyLoads,
 	KeyRecorder,
 	MoveBudget,
 	movedKeysShare,
@@ -430,3 +431,25 @@
 	const some = planTidyMoves(table, servers, traffic, {maxMovedKeys: 25});
 	t.true(some.length > 0 && some.length <= 2);
 });
+
+test('a server of which only one short answer is known takes no more keys than it can serve', (t) => {
+	const many = Array.from({length: 20}, (_, index) => server(`s${index}`));
+	const rates = new Map(
+		Array.from({length: 200}, (_, index) => [index * 10, 1] as const),
+	);
+	const measured = new Map(
+		many.map(({backendServer}) => [backendServer, usualMs]),
+	);
+	const readings = new Map(many.map(({backendServer}) => [backendServer, 50]));
+	const traffic: KeyTraffic = {
+		rates,
+		runMs: new Map([...measured, ['s19', 15]]),
+		readings: new Map([...readings, ['s19', 1]]),
+	};
+	const empty: RangeTable = {service: 's', nextFence: 1, ranges: []};
+	const table = applyMoves(empty, planKeyMoves(empty, many));
+	const after = applyMoves(table, planLoadMoves(table, many, traffic));
+	const trueLoads = keyLoads(after, many, {rates, runMs: measured})!;
+	t.true(trueLoads.get('s0')! < 2, 'the busy keys were moved');
+	t.true(trueLoads.get('s19')! < 1, `${trueLoads.get('s19')}`);
+});
--- a/packages/daemon/src/gateway/fleet-traffic.ts
+++ b/packages/daemon/src/gateway/fleet-traffic.ts
@@ -33,7 +33,7 @@
 	readonly store: ObjectStore;
 	readonly clock: Clock;
 	readonly log: Log;
-	readonly relayed: Pick<RelayedReports, 'trafficOf' | 'runTimes'>;
+	readonly relayed: Pick<RelayedReports, 'trafficOf' | 'keyRunTimes'>;
 	/** The age from which a report in the store that has not changed counts no more. */
 	readonly expiryMs: () => Millis;
 };
@@ -90,7 +90,7 @@
 		return totalTraffic([
 			...stored,
 			...[...rates.values()].map((part) => ({rates: part, runMs: new Map()})),
-			{rates: new Map(), runMs: relayed.runTimes(service)},
+			{rates: new Map(), ...relayed.keyRunTimes(service)},
 		]);
 	}
 
--- a/packages/daemon/src/gateway/planned-loads.ts
+++ b/packages/daemon/src/gateway/planned-loads.ts
@@ -28,6 +28,7 @@
 
 type Expected = {
 	readonly loads: KeyLoads;
+	readonly runMs: KeyTraffic['runMs'];
 	readonly takers: ReadonlySet<string>;
 	readonly at: Millis;
 };
@@ -47,7 +48,8 @@
 		const {clock, targetMs} = this.context;
 		const loads = keyLoads(table, servers, traffic, targetMs());
 		const takers = new Set(moves.map(({target}) => target.backendServer));
-		this.#expected = loads && {loads, takers, at: clock.now()};
+		const {runMs} = traffic;
+		this.#expected = loads && {loads, runMs, takers, at: clock.now()};
 	}
 
 	/** To be called whenever the traffic is looked at. */
@@ -72,22 +74,23 @@
 		const takers = byLoad.filter(([server]) => expected.takers.has(server));
 		log.info('load-after-moves', {
 			service,
-			takers: textOf(takers, expected.loads),
-			busiest: textOf(byLoad, expected.loads),
+			takers: textOf(takers, expected),
+			busiest: textOf(byLoad, expected),
 		});
 	}
 }
 
-/** Of each server the expected and the present load. */
+/** Of each server the load that was expected, the present one, and the run time that the plan went by. */
 function textOf(
 	loads: ReadonlyArray<readonly [string, number]>,
-	expected: KeyLoads,
+	{loads: expected, runMs}: Expected,
 ): string {
 	return loads
 		.slice(0, maxServersLogged)
 		.map(([server, load]) => {
-			const planned = expected.get(server) ?? 0;
-			return `${server}=${planned.toFixed(2)}/${load.toFixed(2)}`;
+			const planned = (expected.get(server) ?? 0).toFixed(2);
+			const ms = Math.round(runMs.get(server) ?? 0);
+			return `${server}=${planned}/${load.toFixed(2)}@${ms}`;
 		})
 		.join(' ');
 }
--- a/packages/daemon/src/gateway/relayed-reports.ts
+++ b/packages/daemon/src/gateway/relayed-reports.ts
@@ -10,6 +10,8 @@
 	type Clock,
 	type DaemonReport,
 	type FleetDemand,
+	type KeyTraffic,
+	type MeanRunTime,
 	type Millis,
 	type Random,
 	type ServiceRates,
@@ -38,6 +40,7 @@
 const runTimesMs: Millis = 500;
 
 const noRunTimes: ReadonlyMap<string, Millis> = new Map();
+const noMeans: ReadonlyMap<string, MeanRunTime> = new Map();
 
 /** The way to other daemons. */
 export type ReportChannel = {
@@ -119,6 +122,17 @@
 		return this.#runTimes.get(service) ?? noRunTimes;
 	}
 
+	/** The run times at a service's servers, and how many answers each rests on. */
+	keyRunTimes(service: string): Pick<KeyTraffic, 'runMs' | 'readings'> {
+		const means = [...(this.#means(this.clock.now())?.get(service) ?? noMeans)];
+		return {
+			runMs: new Map(means.map(([server, {runMs}]) => [server, runMs])),
+			readings: new Map(
+				means.map(([server, {readings}]) => [server, readings]),
+			),
+		};
+	}
+
 	override setDemand(source: DemandSource): void {
 		this.#demandSource = source;
 	}
@@ -206,12 +220,15 @@
 			: undefined;
 	}
 
-	#meanRunTimes(now: Millis): RunTimes {
-		const times = this.#isWatcher
+	#means(now: Millis): ServiceRunTimes | undefined {
+		return this.#isWatcher
 			? this.#board.runTimes(now)
 			: this.#recentSummary?.runTimes;
+	}
+
+	#meanRunTimes(now: Millis): RunTimes {
 		return new Map(
-			[...(times ?? [])].map(([service, servers]) => [
+			[...(this.#means(now) ?? [])].map(([service, servers]) => [
 				service,
 				new Map([...servers].map(([server, {runMs}]) => [server, runMs])),
 			]),
--- a/packages/daemon/src/gateway/report-messages.ts
+++ b/packages/daemon/src/gateway/report-messages.ts
@@ -81,7 +81,7 @@
 		service,
 		servers: [...servers.keys()],
 		runMs: [...servers.values()].map(({runMs}) => runMs),
-		daemons: [...servers.values()].map(({daemons}) => daemons),
+		readings: [...servers.values()].map(({readings}) => readings),
 	}));
 }
 
@@ -92,10 +92,10 @@
 		messages.map((message) => {
 			const servers = names.parse(message.servers ?? []);
 			const runMs = values.parse(message.runMs ?? []);
-			const daemons = counts.parse(message.daemons ?? []);
+			const readings = counts.parse(message.readings ?? []);
 			const means = runMs.map((ms, index): MeanRunTime => ({
 				runMs: ms,
-				daemons: daemons[index] ?? 1,
+				readings: readings[index] ?? 1,
 			}));
 			return [name.parse(message.service), paired(servers, means)] as const;
 		}),
--- a/packages/daemon/src/gateway/traffic-task.ts
+++ b/packages/daemon/src/gateway/traffic-task.ts
@@ -10,6 +10,7 @@
 	reportIntervalMs,
 	type Clock,
 	type KeyTraffic,
+	type ListedServer,
 	type MeanRunTime,
 	type Millis,
 	type Random,
@@ -34,6 +35,9 @@
 /** Share of the store's write rate that the reports of all daemons may take. */
 const writeShare = 0.1;
 
+/** The run times at this daemon. */
+type RunTimes = Pick<KeyTraffic, 'runMs' | 'readings'>;
+
 @singleton()
 export class TrafficTask extends Task {
 	readonly #recorders = new Map<string, KeyRecorder>();
@@ -101,12 +105,11 @@
 	#runTimes(): ServiceRunTimes {
 		const {inService} = this.view.view.value;
 		const services = [...inService].map(
-			([service, servers]) =>
-				[service, this.picks.loads.runTimes(servers)] as const,
+			([service, servers]) => [service, this.#runTimesAt(servers)] as const,
 		);
 		return new Map(
 			services
-				.filter(([, {size}]) => size > 0)
+				.filter(([, {runMs}]) => runMs.size > 0)
 				.map(([service, times]) => [service, meansOf(times)]),
 		);
 	}
@@ -120,7 +123,12 @@
 
 	#trafficOf(service: string, rates: KeyTraffic['rates']): KeyTraffic {
 		const servers = this.view.view.value.inService.get(service) ?? [];
-		return {rates, runMs: this.picks.loads.runTimes(servers)};
+		return {rates, ...this.#runTimesAt(servers)};
+	}
+
+	#runTimesAt(servers: readonly ListedServer[]): RunTimes {
+		const {loads} = this.picks;
+		return {runMs: loads.runTimes(servers), readings: loads.readings(servers)};
 	}
 
 	async #report(report: SentReport): Promise<void> {
@@ -154,12 +162,15 @@
 	}
 }
 
-/** The run times at one daemon. */
-function meansOf(
-	times: ReadonlyMap<string, Millis>,
-): ReadonlyMap<string, MeanRunTime> {
+function meansOf({
+	runMs,
+	readings,
+}: RunTimes): ReadonlyMap<string, MeanRunTime> {
 	return new Map(
-		[...times].map(([server, runMs]) => [server, {runMs, daemons: 1}]),
+		[...runMs].map(([server, ms]) => [
+			server,
+			{runMs: ms, readings: readings?.get(server) ?? 1},
+		]),
 	);
 }
 
--- a/packages/daemon/test/relayed-reports.test.ts
+++ b/packages/daemon/test/relayed-reports.test.ts
@@ -55,7 +55,7 @@
 					[
 						service,
 						new Map([
-							['s', {runMs: index === 0 ? runMs.slow : runMs.fast, daemons: 1}],
+							['s', {runMs: index === 0 ? runMs.slow : runMs.fast, readings: 1}],
 						]),
 					],
 				]),
--- a/packages/platform/src/key-traffic-document.ts
+++ b/packages/platform/src/key-traffic-document.ts
@@ -23,6 +23,10 @@
 			rates: z.array(z.tuple([z.number().int().min(0).max(maxKey), rate])),
 			/** Columns: server, duration of a request there in ms. */
 			runs: z.array(z.tuple([z.string(), runMs])),
+			/** Columns: server, number of answers that its duration rests on. */
+			readings: z
+				.array(z.tuple([z.string(), z.number().int().positive()]))
+				.optional(),
 		}),
 	),
 });
@@ -37,9 +41,13 @@
 	return validate(traffic, spec).map(
 		({services}) =>
 			new Map(
-				services.map(({service, rates, runs}) => [
+				services.map(({service, rates, runs, readings}) => [
 					service,
-					{rates: new Map(rates), runMs: new Map(runs)},
+					{
+						rates: new Map(rates),
+						runMs: new Map(runs),
+						...(readings && {readings: new Map(readings)}),
+					},
 				]),
 			),
 	);
@@ -49,10 +57,11 @@
 	services: ReadonlyMap<string, KeyTraffic>,
 ): unknown {
 	return {
-		services: [...services].map(([service, {rates, runMs}]) => ({
+		services: [...services].map(([service, {rates, runMs, readings}]) => ({
 			service,
 			rates: rounded(rates),
 			runs: rounded(runMs),
+			...(readings && {readings: [...readings]}),
 		})),
 	};
 }
--- a/packages/platform/test/decoding.test.ts
+++ b/packages/platform/test/decoding.test.ts
@@ -375,7 +375,12 @@
 		[7, 0.33],
 		[65_535, 12],
 	]);
-	const services = new Map([['s', {rates, runMs: new Map([['i-1', 220.5]])}]]);
+	const runMs = new Map([['i-1', 220.5]]);
+	const readings = new Map([['i-1', 3]]);
+	const services = new Map([
+		['s', {rates, runMs, readings}],
+		['older', {rates, runMs}],
+	]);
 	const spec: unknown = structuredClone(keyTrafficSpec(services));
 	t.deepEqual(parseKeyTraffic(spec).extract(), services);
 	for (const invalid of [
