Send readers what has changed of a range table, not the whole table

Cause: a watcher answers with whole objects, and a table is one object.

Change: a reader names the revisions of the large objects that it holds, and a watcher that has that revision, too, sends the ranges that it lacks. An object is the same wherever it has the same revision, so it makes no difference from whom the base came, or whether the reader used it. Without a common base, or with a peer of an older version, the whole object is sent.

--- a/packages/daemon/src/gateway/peer-link.ts
+++ b/packages/daemon/src/gateway/peer-link.ts
@@ -20,10 +20,12 @@
 	type FollowAnswerMessage,
 	type Mesh,
 } from '@kingcuproute/mesh';
+import {type ObjectChange} from '@kingcuproute/platform';
 import {Left, Right, type Either} from 'purify-ts';
 import {type Log} from '../log/log.js';
 import {type GatewayMetrics} from './gateway-metrics.js';
 import {PeerReads, type PeerOutcome} from './peer-reads.js';
+import {RecentObjects} from './recent-objects.js';
 import {maxContactAgeMs} from './relay-answers.js';
 import {
 	readAnswer,
@@ -74,6 +76,8 @@
 	/** The peer that answered the last round. */
 	#current: string | undefined;
 	readonly #answerDelay = new AnswerDelay();
+	/** To which peers may send changes as diffs. */
+	readonly #recent = new RecentObjects();
 	readonly #cancelProbes: () => void;
 
 	constructor(private readonly context: LinkContext) {
@@ -189,6 +193,9 @@
 			kind,
 			since,
 			urgent: this.#urgent.delete(kind),
+			held: this.#recent
+				.newest(kind)
+				.map(({name, revision}) => ({name, revision})),
 		}));
 		// A peer that takes over is asked for what it has.
 		const hold = this.#current === peer.vm ? holdMs : 0;
@@ -258,12 +265,26 @@
 	}
 
 	#readable(message: FollowAnswerMessage): Either<PeerFault, PeerAnswer> {
-		return readAnswer(message).mapLeft(({message: error}) => {
+		const answer = readAnswer(message, this.#recent);
+		answer.ifRight(({readings}) => {
+			for (const {kind, changes} of readings) {
+				this.#record(kind, changes);
+			}
+		});
+		return answer.mapLeft(({message: error}) => {
 			this.context.log.warn('peer-unreadable', {error: error.slice(0, 200)});
 			return 'not-current';
 		});
 	}
 
+	#record(kind: string, changes: readonly ObjectChange[]): void {
+		for (const {object, removed} of changes) {
+			if (!removed) {
+				this.#recent.record(kind, object);
+			}
+		}
+	}
+
 	/** The peer's calls count as this daemon's own, as of the earliest time at which it can have answered. */
 	#hearOf(
 		{heldMs, contactAgeMs, unbrokenMs, failureAgeMs}: PeerAnswer,
--- a/packages/daemon/src/gateway/relay-answers.ts
+++ b/packages/daemon/src/gateway/relay-answers.ts
@@ -10,12 +10,15 @@
 	relayStanding,
 	type FollowAnswerMessage,
 	type FollowMessage,
+	type HeldObjectMessage,
+	type InterestMessage,
 	type KindReadingMessage,
 	type Mesh,
 	type RelayedChangeMessage,
 } from '@kingcuproute/mesh';
 import {type StoredObject} from '@kingcuproute/platform';
 import {type KindFollower} from './kind-follower.js';
+import {RecentObjects} from './recent-objects.js';
 import {messageOf} from './relay-messages.js';
 import {type StoreContact} from './store-contact.js';
 
@@ -51,12 +54,13 @@
 	readonly #kinds: ReadonlyMap<string, FollowedKind>;
 	/** Called on each change. */
 	readonly #held = new Set<() => void>();
+	readonly #recent = new RecentObjects();
 
 	constructor(private readonly context: AnswersContext) {
 		this.#kinds = new Map(
 			[...context.followers].map(([kind, follower]) => [
 				kind,
-				this.#follow(follower),
+				this.#follow(kind, follower),
 			]),
 		);
 	}
@@ -66,13 +70,17 @@
 		mesh.serve(listKind, ({kind}) => this.#list(kind ?? ''));
 	}
 
-	#follow(follower: KindFollower): FollowedKind {
+	#follow(kind: string, follower: KindFollower): FollowedKind {
 		const history = new KindHistory<StoredObject>();
 		const update = () => {
 			const {value} = follower.objects;
 			if (value && follower.revision !== undefined) {
 				const {changedSince} = follower.reading;
 				history.update(value, follower.revision, changedSince);
+				for (const object of value.values()) {
+					this.#recent.record(kind, object);
+				}
+
 				for (const notify of this.#held) {
 					notify();
 				}
@@ -93,9 +101,7 @@
 		const startedAt = clock.now();
 		const until = startedAt + Math.min(maxHoldMs, holdMs ?? 0);
 		const read = () =>
-			(interests ?? []).map(({kind, since, urgent}) =>
-				this.#read(kind ?? '', since ?? 0, urgent ?? false),
-			);
+			(interests ?? []).map((interest) => this.#read(interest));
 		let readings = read();
 		while (
 			clock.now() < until &&
@@ -166,7 +172,14 @@
 		};
 	}
 
-	#read(kind: string, since: number, urgent: boolean): KindReadingMessage {
+	#read({
+		kind: asked,
+		since: after,
+		urgent,
+		held,
+	}: InterestMessage): KindReadingMessage {
+		const kind = asked ?? '';
+		const since = after ?? 0;
 		const {follower, history} = this.#kindOf(kind);
 		const head = this.#headOf(kind);
 		if (urgent) {
@@ -184,7 +197,9 @@
 		}
 
 		const messages: RelayedChangeMessage[] = [
-			...changes.objects.map((object) => messageOf(object)),
+			...changes.objects.map((object) =>
+				messageOf(object, this.#baseOf(kind, object, held ?? [])),
+			),
 			...changes.removed.map((removal) => ({...removal, removed: true})),
 		];
 		let len = 0;
@@ -203,6 +218,16 @@
 				};
 	}
 
+	/** The revision of the object that the asker holds, if this daemon has it, too. */
+	#baseOf(
+		kind: string,
+		{name}: StoredObject,
+		held: readonly HeldObjectMessage[],
+	): StoredObject | undefined {
+		const revision = held.find((each) => each.name === name)?.revision;
+		return revision ? this.#recent.at(kind, name, revision) : undefined;
+	}
+
 	/** Asks the store for the revision that a peer has already. */
 	#refresh(kind: string): void {
 		const followed = this.#kindOf(kind);
--- a/packages/daemon/src/gateway/relay-messages.ts
+++ b/packages/daemon/src/gateway/relay-messages.ts
@@ -7,9 +7,15 @@
 	type KindReadingMessage,
 	type RelayedChangeMessage,
 } from '@kingcuproute/mesh';
-import {type ObjectChange, type StoredObject} from '@kingcuproute/platform';
+import {
+	patchedSpec,
+	specDiff,
+	type ObjectChange,
+	type StoredObject,
+} from '@kingcuproute/platform';
 import {Either} from 'purify-ts';
 import {z} from 'zod';
+import {type RecentObjects} from './recent-objects.js';
 
 /** What a peer knows of one kind of object. */
 export type PeerReading = {
@@ -37,6 +43,8 @@
 
 /** The content of each object as text; sent to many daemons, and made once. */
 const contents = new WeakMap<StoredObject, Uint8Array>();
+/** The same with diffs, by the revision of the base. */
+const diffs = new WeakMap<StoredObject, Map<number, Uint8Array | undefined>>();
 
 const contentSchema = z.object({
 	spec: z.unknown().optional(),
@@ -51,53 +59,92 @@
 	[relayStanding.BEHIND]: 'behind',
 } as const;
 
-export function messageOf(object: StoredObject): RelayedChangeMessage {
-	const {name, revision, spec, status, rest} = object;
+/** The object as it is sent to a daemon that has it at the revision of `base`, if it has. */
+export function messageOf(
+	object: StoredObject,
+	base?: StoredObject,
+): RelayedChangeMessage {
+	const {name, revision} = object;
+	const diff = base && diffContent(object, base);
+	if (diff) {
+		return {name, revision, content: diff, base: base.revision};
+	}
+
 	let content = contents.get(object);
 	if (!content) {
-		content = Buffer.from(JSON.stringify({spec, status, rest}));
+		content = contentOf(object, object.spec);
 		contents.set(object, content);
 	}
 
 	return {name, revision, content};
 }
 
-/** Reads an answer; what can't be read makes the whole of it unusable. */
+function diffContent(
+	object: StoredObject,
+	base: StoredObject,
+): Uint8Array | undefined {
+	const known = diffs.get(object) ?? new Map<number, Uint8Array | undefined>();
+	diffs.set(object, known);
+	if (!known.has(base.revision)) {
+		const diff = specDiff(base.spec, object.spec);
+		const content = diff === undefined ? undefined : contentOf(object, diff);
+		known.set(base.revision, content);
+	}
+
+	return known.get(base.revision);
+}
+
+function contentOf({status, rest}: StoredObject, spec: unknown): Uint8Array {
+	return Buffer.from(JSON.stringify({spec, status, rest}));
+}
+
+/** Reads an answer to a daemon that has `held`; what can't be read makes the whole of it unusable. */
 export function readAnswer(
 	message: FollowAnswerMessage,
+	held: RecentObjects,
 ): Either<Error, PeerAnswer> {
 	return Either.encase(() => ({
 		heldMs: ageSchema.parse(message.heldMs ?? 0),
 		contactAgeMs: ageSchema.parse(message.contactAgeMs ?? 0),
 		unbrokenMs: ageSchema.parse(message.unbrokenMs ?? 0),
 		failureAgeMs: ageSchema.parse(message.failureAgeMs ?? Number.MAX_VALUE),
-		readings: (message.readings ?? []).map((reading) => readReading(reading)),
+		readings: (message.readings ?? []).map((reading) =>
+			readReading(reading, held),
+		),
 	}));
 }
 
-function readReading(message: KindReadingMessage): PeerReading {
+function readReading(
+	message: KindReadingMessage,
+	held: RecentObjects,
+): PeerReading {
 	const standing = standings[message.standing ?? relayStanding.CURRENT];
 	if (standing === undefined) {
 		throw new RangeError(`no standing ${message.standing}`);
 	}
 
+	const kind = message.kind ?? '';
+	const changes = (message.changes ?? []).map((change) =>
+		readChange(change, (name, revision) => held.at(kind, name, revision)),
+	);
+	const known = changes.filter((change) => change !== undefined);
 	return {
-		kind: message.kind ?? '',
-		standing,
+		kind,
+		// Without the base of a diff the objects have to be listed.
+		standing: known.length < changes.length ? 'expired' : standing,
 		revision: revisionSchema.parse(message.revision ?? 0),
 		contentRevision: revisionSchema.parse(message.contentRevision ?? 0),
 		ageMs: ageSchema.parse(message.ageMs ?? 0),
 		changedAgeMs: ageSchema.optional().parse(message.changedAgeMs ?? undefined),
-		changes: (message.changes ?? []).map((change) => readChange(change)),
+		changes: known,
 	};
 }
 
-function readChange({
-	name,
-	revision,
-	removed,
-	content,
-}: RelayedChangeMessage): ObjectChange {
+/** Undefined if it is a diff to an object that is not held. */
+function readChange(
+	{name, revision, removed, content, base}: RelayedChangeMessage,
+	held: (name: string, revision: number) => StoredObject | undefined,
+): ObjectChange | undefined {
 	const key = {
 		name: z.string().min(1).parse(name),
 		revision: revisionSchema.parse(revision ?? 0),
@@ -109,5 +156,13 @@
 
 	const text = Buffer.from(content ?? new Uint8Array()).toString();
 	const {spec, status, rest} = contentSchema.parse(JSON.parse(text));
-	return {object: {...key, spec, status, rest}, removed: false};
+	const object = {...key, spec, status, rest};
+	if (!base) {
+		return {object, removed: false};
+	}
+
+	const patched = patchedSpec(held(key.name, base)?.spec, spec);
+	return patched === undefined
+		? undefined
+		: {object: {...object, spec: patched}, removed: false};
 }
--- a/packages/daemon/test/relayed-reader.ts
+++ b/packages/daemon/test/relayed-reader.ts
@@ -14,7 +14,7 @@
 import {Log} from '../src/log/log.js';
 import {type ManualClock} from './timers.js';
 
-/** The kind of object that is followed. */
+/** The kind of object that is followed where no other is named. */
 export const kind = 'k';
 export const serverReportMs: Millis = 870;
 /** As long as the users' sites allow outdated state after a disturbance. */
@@ -35,12 +35,13 @@
 export function startWatcher(
 	{clock, random, mesh}: FleetParts,
 	store: ObjectStore,
+	followed = kind,
 ): KindFollower {
 	const contact = new StoreContact(clock, {serverReportMs});
 	const observed = new ObservedStore(store, new GatewayMetrics(), contact);
-	const follower = follow(observed, {clock, random}, watcherGapMs);
+	const follower = follow(observed, {clock, random}, watcherGapMs, followed);
 	new RelayAnswers({
-		followers: new Map([[kind, follower]]),
+		followers: new Map([[followed, follower]]),
 		contact,
 		clock,
 		isReady: () => follower.objects.value !== undefined,
@@ -55,6 +56,7 @@
 	store: ObjectStore,
 	contact: StoreContact,
 	watchers: readonly string[],
+	followed = kind,
 ): KindFollower {
 	const metrics = new GatewayMetrics();
 	const link = new PeerLink({mesh, contact, clock, random, metrics, log});
@@ -68,7 +70,7 @@
 		startsStale: true,
 	});
 	relayed.setPeers(link);
-	const reader = follow(relayed, {clock, random}, readerGapMs);
+	const reader = follow(relayed, {clock, random}, readerGapMs, followed);
 	link.setPeers(
 		watchers.map((vm) => ({vm, failureDomain: vm[0], address: vm})),
 	);
@@ -79,10 +81,11 @@
 	store: ObjectStore,
 	{clock, random}: Pick<FleetParts, 'clock' | 'random'>,
 	gapMs: Millis,
+	followed: string,
 ): KindFollower {
 	const checkPace = CheckPace.within(outdatedMs);
 	checkPace.gapMs = gapMs;
-	const follower = new KindFollower(kind, {
+	const follower = new KindFollower(followed, {
 		store,
 		clock,
 		random,
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -61,6 +61,8 @@
 	type RunTimesMessage,
 	type FollowAnswerMessage,
 	type FollowMessage,
+	type HeldObjectMessage,
+	type InterestMessage,
 	type KindReadingMessage,
 	type RelayedChangeMessage,
 	type RelayListMessage,
--- a/packages/mesh/src/relay-rpc.ts
+++ b/packages/mesh/src/relay-rpc.ts
@@ -3,6 +3,8 @@
 import {relay} from '#generated/relay.js';
 
 export type FollowMessage = relay.IFollowRequest;
+export type InterestMessage = relay.IInterest;
+export type HeldObjectMessage = relay.IHeldObject;
 export type FollowAnswerMessage = relay.IFollowAnswer;
 export type KindReadingMessage = relay.IKindReading;
 export type RelayedChangeMessage = relay.IChange;
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -58,6 +58,7 @@
 	parseCrashReport,
 } from './crash-report-document.js';
 export {parseListedServer, serversKind} from './listed-servers.js';
+export {hasDiffs, patchedSpec, specDiff} from './spec-diff.js';
 export {errorText, heldRevision, type ObjectError} from './object-error.js';
 export {
 	ObjectStore,
