--- a/packages/daemon/test/relayed-reports.test.ts
+++ b/packages/daemon/test/relayed-reports.test.ts
@@ -55,7 +55,10 @@
 					[
 						service,
 						new Map([
-							['s', {runMs: index === 0 ? runMs.slow : runMs.fast, readings: 1}],
+							[
+								's',
+								{runMs: index === 0 ? runMs.slow : runMs.fast, readings: 1},
+							],
 						]),
 					],
 				]),
