Leave hot keys out of the mean load from which a server counts as overloaded

Cause: the bound for servers that give keys away was taken from the mean load before the hot keys were put aside; the rest of the plan leaves them out.

Change: the bound is taken where the load is evened out, from the same mean.

--- a/packages/core/src/gateway/load-plan.ts
+++ b/packages/core/src/gateway/load-plan.ts
@@ -112,7 +112,7 @@
 	readonly #moves: KeyMove[] = [];
 	readonly #servers: LoadedServer[];
 	readonly #meanRate: number;
-	readonly #minDonorLoad: number;
+	readonly #isOverloadOnly: boolean;
 	readonly #spanMs: Millis;
 	#keysLeft: number;
 
@@ -128,10 +128,7 @@
 		this.#spanMs = spanMs;
 		this.#servers = [...servers];
 		this.#keysLeft = maxMovedKeys;
-		const mean = meanLoad(servers);
-		this.#minDonorLoad = isOverloadOnly
-			? Math.max(overload, mean + minOverloadGap)
-			: Math.max(minDonorLoad, mean + minLoadGap);
+		this.#isOverloadOnly = isOverloadOnly;
 		this.#meanRate = totalRate(keys) / (maxKey + 1);
 	}
 
@@ -204,9 +201,12 @@
 				)
 				.map(({server}) => runKeyOf(server)),
 		);
+		const minLoad = this.#isOverloadOnly
+			? Math.max(overload, mean + minOverloadGap)
+			: Math.max(minDonorLoad, mean + minLoadGap);
 		let easyMoves = 0;
 		for (let count = 0; count < 2 * this.#servers.length; count++) {
-			const donor = this.#donor(exhausted);
+			const donor = this.#donor(exhausted, minLoad);
 			const recipient = donor && this.#recipient(donor, ceiling);
 			if (!donor || !recipient) {
 				break;
@@ -226,11 +226,14 @@
 		}
 	}
 
-	#donor(exhausted: ReadonlySet<string>): LoadedServer | undefined {
+	#donor(
+		exhausted: ReadonlySet<string>,
+		minLoad: number,
+	): LoadedServer | undefined {
 		let busiest: LoadedServer | undefined;
 		for (const candidate of this.#servers) {
 			if (
-				candidate.load >= this.#minDonorLoad &&
+				candidate.load >= minLoad &&
 				candidate.load > (busiest?.load ?? 0) &&
 				candidate.ranges.length > 0 &&
 				!exhausted.has(runKeyOf(candidate.server))
--- a/packages/core/test/gateway/key-load.test.ts
+++ b/packages/core/test/gateway/key-load.test.ts
@@ -453,3 +453,26 @@
 	t.true(trueLoads.get('s0')! < 2, 'the busy keys were moved');
 	t.true(trueLoads.get('s19')! < 1, `${trueLoads.get('s19')}`);
 });
+
+test('a key beyond any server does not keep keys at servers that are overloaded', (t) => {
+	const many = Array.from({length: 100}, (_, index) => server(`s${index}`));
+	const empty: RangeTable = {service: 's', nextFence: 1, ranges: []};
+	const table = applyMoves(empty, planKeyMoves(empty, many));
+	const runTimes = new Map(
+		many.map(({backendServer}) => [backendServer, usualMs]),
+	);
+	// Each server serves 15 requests a second and gets 10; one gets 22, and a hot key 700.
+	const [crowded, {from: hotKey}] = table.ranges;
+	const rates = new Map<number, number>();
+	for (const {from} of table.ranges) {
+		for (let key = from; key < from + 20; key++) {
+			rates.set(key, from === crowded.from ? 1.1 : 0.5);
+		}
+	}
+
+	rates.set(hotKey, 700);
+	const traffic = {rates, runMs: runTimes};
+	const moves = planLoadMoves(table, many, traffic, {isOverloadOnly: true});
+	const after = keyLoads(applyMoves(table, moves), many, traffic)!;
+	t.true(after.get(crowded.owner)! < 1.2, `${after.get(crowded.owner)}`);
+});
--- a/packages/daemon/src/gateway/planned-loads.ts
+++ b/packages/daemon/src/gateway/planned-loads.ts
@@ -16,7 +16,7 @@
 import {type Log} from '../log/log.js';
 
 /** From moves until their effect is logged: by then reports show it. */
-const outcomeMs: Millis = 1500;
+const outcomeMs: Millis = 1000;
 const maxServersLogged = 8;
 
 export type PlannedLoadsContext = {
