Count no grant that was never sent as one that a server may have taken

Cause: each renewal that ended without an answer began a new lease in the keeper's books, also one for which no connection was opened. So the keys of a crashed server became free 6.4 s after its entry had lapsed, 9 s and more after the crash, in place of 6.4 s after the last grant that it can have got; and plans left out moves of its keys meanwhile.

Change: an order that undici has not begun to write is reported as never sent, and is taken out of the books. That a connection is refused still proves nothing about the server: what it was granted before counts as before.

Tests: gateway-keeper, keys of a server that refuses connections and stays listed for 3 s had not moved 7.5 s after the first refusal (failed before), now they have; the random plays with refusing servers, in which no key may have two holders, pass. key-orders: orders reported as never sent do not arrive later.

--- a/packages/daemon/src/gateway/key-grants.ts
+++ b/packages/daemon/src/gateway/key-grants.ts
@@ -280,6 +280,10 @@
 	now: Millis,
 ): GrantLedger {
 	const others = ledger.without(sent);
+	if (end.kind === 'unknown' && end.neverSent) {
+		return others;
+	}
+
 	switch (end.kind) {
 		case 'outdated':
 		case 'ended': {
--- a/packages/daemon/test/gateway-keeper.test.ts
+++ b/packages/daemon/test/gateway-keeper.test.ts
@@ -35,6 +35,19 @@
 	t.true(sampleKeys.every((key) => orders.holdersOf(key)[0] === 'b'));
 });
 
+test('keys of a server that refuses connections move once its last lease has expired, however long it stays listed', async (t) => {
+	const {orders, pass, list} = startFleet(['x', 'y'], ['a', 'b']);
+	await pass(1500, () => undefined);
+	orders.refusing.add('a');
+	await pass(3000, () => undefined);
+	list(['b']);
+	// A lease of 5.5 s by the slowest clock, the time for its grant, and the move.
+	await pass(4500, () => {
+		t.true(sampleKeys.every((key) => orders.holdersOf(key).length <= 1));
+	});
+	t.true(sampleKeys.every((key) => orders.holdersOf(key)[0] === 'b'));
+});
+
 test('keys of a server that is no longer listed but still answers move as soon as it has released them', async (t) => {
 	const {orders, pass, list} = startFleet(['x', 'y'], ['a', 'b']);
 	await pass(1500, () => undefined);
--- a/packages/daemon/test/gateway-keepers.ts
+++ b/packages/daemon/test/gateway-keepers.ts
@@ -186,7 +186,7 @@
 		timeoutMs: Millis,
 	): Promise<OrderOutcome | undefined> {
 		if (this.refusing.has(address)) {
-			return {kind: 'unknown', message: 'connection refused'};
+			return {kind: 'unknown', message: 'refused', neverSent: true};
 		}
 
 		const delayMs = this.orderDelayMs.get(address);
--- a/packages/platform/src/key-orders.ts
+++ b/packages/platform/src/key-orders.ts
@@ -33,8 +33,12 @@
 	  }
 	/** The server has seen a higher fence on one of the keys. */
 	| {readonly kind: 'outdated'}
-	/** The server may have accepted the order, or may accept it later. */
-	| {readonly kind: 'unknown'; readonly message: string}
+	/** The server may have accepted the order, or may accept it later, unless it was never sent: no connection was opened for it in time. */
+	| {
+			readonly kind: 'unknown';
+			readonly message: string;
+			readonly neverSent?: boolean;
+	  }
 	/** Another server answers at the address: the intended one has ended. */
 	| {readonly kind: 'ended'};
 
@@ -155,7 +159,8 @@
 			return endOf(await answer.ended);
 		} catch (error) {
 			// Also for a refused connection, which may be caused by the network path instead of the server.
-			return {kind: 'unknown', message: (error as Error).message};
+			const {message} = error as Error;
+			return {kind: 'unknown', message, neverSent: !answer.isSent};
 		} finally {
 			cancel();
 		}
--- a/packages/platform/src/order-answer.ts
+++ b/packages/platform/src/order-answer.ts
@@ -27,6 +27,11 @@
 		});
 	}
 
+	/** Whether any of the order may have been written. */
+	get isSent(): boolean {
+		return this.#controller !== undefined;
+	}
+
 	/** Stops waiting for the answer; an order that has not been sent yet is never sent. */
 	abort(error: Error): void {
 		this.#abortReason = error;
--- a/packages/platform/test/key-orders.test.ts
+++ b/packages/platform/test/key-orders.test.ts
@@ -142,3 +142,46 @@
 	t.true(ends.every(({kind}) => kind === 'unknown'));
 	await orders.close();
 });
+
+test('orders that are reported as never sent do not arrive later, and all others may have arrived', async (t) => {
+	let received = '';
+	const server = createServer((socket) => {
+		socket.on('error', () => undefined);
+		socket.on('data', (bytes) => {
+			received += String(bytes);
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	t.teardown(() => {
+		server.close();
+	});
+	const {port} = server.address() as AddressInfo;
+	const orders = new HttpKeyOrders(new SystemClock());
+	t.teardown(async () => orders.close());
+	const target = {backendServer: 'a', address: `127.0.0.1:${port}`};
+	const fences = Array.from({length: 12}, (_, index) => 100 + index);
+	const ends = await Promise.all(
+		fences.map(async (fence) =>
+			orders.grant(target, {...grantOrder, fence}, timeoutMs),
+		),
+	);
+	// A server may read its connections long after the orders have been given up.
+	await sleep(timeoutMs);
+	const neverSent = fences.filter((_, index) => {
+		const end = ends[index];
+		return end.kind === 'unknown' && end.neverSent;
+	});
+	t.true(neverSent.length > 0 && neverSent.length < fences.length);
+	for (const fence of neverSent) {
+		t.false(received.includes(`"fence":${fence}`), `${fence} arrived`);
+	}
+});
+
+test('an order for which no connection opens was never sent', async (t) => {
+	const orders = new HttpKeyOrders(new SystemClock());
+	t.teardown(async () => orders.close());
+	const server = {backendServer: 'a', address: await refusingAddress()};
+	const end = await orders.grant(server, grantOrder, timeoutMs);
+	t.true(end.kind === 'unknown' && end.neverSent);
+});
