Log what following the store costs each daemon, by kind of object and call

A line store-followed every 5 s has the calls to the store by kind and call, and the bytes of objects that peers have sent by kind; a counter has the latter as well.

--- a/packages/daemon/src/gateway/gateway-metrics.ts
+++ b/packages/daemon/src/gateway/gateway-metrics.ts
@@ -16,6 +16,14 @@
 	readonly tookMs: Millis;
 };
 
+/** What following the store has cost since it was last taken. */
+export type RecentCalls = {
+	/** By kind of object and call. */
+	readonly storeCalls: ReadonlyMap<string, number>;
+	/** Bytes of objects that peers have sent, by kind. */
+	readonly peerBytes: ReadonlyMap<string, number>;
+};
+
 /** Why keys move. */
 export type MoveCause = 'servers' | 'load';
 
@@ -25,6 +33,8 @@
 	/** Requests and bytes that are not in the metrics yet. */
 	#ended: EndedRequest[] = [];
 	readonly #movedLens = {own: 0, other: 0};
+	#recentStoreCalls = new Map<string, number>();
+	#recentPeerBytes = new Map<string, number>();
 	readonly #requests = new Counter({
 		name: 'kingcuproute_gateway_requests_total',
 		help: 'Requests that have ended, by service and by outcome or reason of refusal',
@@ -82,6 +92,13 @@
 		registers: [this.#registry],
 	});
 
+	readonly #peerBytes = new Counter({
+		name: 'kingcuproute_gateway_peer_bytes_total',
+		help: 'Bytes of objects of the store that peers have sent to this daemon, by kind of object',
+		labelNames: ['kind'] as const,
+		registers: [this.#registry],
+	});
+
 	readonly #bytesMoved = new Counter({
 		name: 'kingcuproute_gateway_server_bytes_total',
 		help: 'Bytes of request and answer bodies exchanged with backend servers, as far as their length is stated, by failure domain: own or other',
@@ -191,6 +208,24 @@
 		call: 'list' | 'list-stale' | 'watch' | 'watch-stale' | 'write' | 'remove',
 	): void {
 		this.#storeCalls.inc({kind, call});
+		add(this.#recentStoreCalls, `${kind}/${call}`, 1);
+	}
+
+	/** Counts the content of objects that a peer has sent. */
+	peerSent(kind: string, len: number): void {
+		this.#peerBytes.inc({kind}, len);
+		add(this.#recentPeerBytes, kind, len);
+	}
+
+	/** The calls and bytes since this was last called. */
+	takeRecent(): RecentCalls {
+		const recent = {
+			storeCalls: this.#recentStoreCalls,
+			peerBytes: this.#recentPeerBytes,
+		};
+		this.#recentStoreCalls = new Map();
+		this.#recentPeerBytes = new Map();
+		return recent;
 	}
 
 	keyRefused(cause: KeyFault): void {
@@ -246,3 +281,7 @@
 		}
 	}
 }
+
+function add(counts: Map<string, number>, name: string, count: number): void {
+	counts.set(name, (counts.get(name) ?? 0) + count);
+}
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -23,6 +23,7 @@
 import {logUnexpectedErrors} from '../log/unexpected-errors.js';
 import {LoopDelay} from '../task/loop-delay.js';
 import {CustomerQuotas} from './customer-quotas.js';
+import {CallLog} from './call-log.js';
 import {type FleetReports} from './fleet-reports.js';
 import {GatewayEntryTask} from './gateway-entry-task.js';
 import {GatewayMetrics} from './gateway-metrics.js';
@@ -46,6 +47,7 @@
 	readonly #quotas: CustomerQuotas;
 	readonly #log: Log;
 	readonly #loopDelay: LoopDelay;
+	readonly #callLog: CallLog;
 
 	constructor(private readonly deployment: Deployment) {
 		const child = container.createChildContainer();
@@ -97,6 +99,7 @@
 		this.#traffic = child.resolve(TrafficTask);
 		this.#relay = child.resolve(RelayTask);
 		this.#loopDelay = LoopDelay.watch(clock, this.#log);
+		this.#callLog = CallLog.watch(clock, this.#log, metrics);
 		this.#log.info('starting', {failureDomain});
 	}
 
@@ -138,6 +141,7 @@
 		await this.#view.stop();
 		await this.#relay.stop();
 		this.#loopDelay.stop();
+		this.#callLog.stop();
 		this.#log.info('stopped');
 	}
 }
--- a/packages/daemon/src/gateway/peer-link.ts
+++ b/packages/daemon/src/gateway/peer-link.ts
@@ -265,6 +265,7 @@
 	}
 
 	#readable(message: FollowAnswerMessage): Either<PeerFault, PeerAnswer> {
+		this.#countContent(message);
 		const answer = readAnswer(message, this.#recent);
 		answer.ifRight(({readings}) => {
 			for (const {kind, changes} of readings) {
@@ -277,6 +278,19 @@
 		});
 	}
 
+	#countContent({readings}: FollowAnswerMessage): void {
+		for (const {kind, changes} of readings ?? []) {
+			let len = 0;
+			for (const {content} of changes ?? []) {
+				len += content?.length ?? 0;
+			}
+
+			if (len > 0) {
+				this.context.metrics.peerSent(kind ?? '', len);
+			}
+		}
+	}
+
 	#record(kind: string, changes: readonly ObjectChange[]): void {
 		for (const {object, removed} of changes) {
 			if (!removed) {
