--- a/packages/core/src/gateway/kind-position.ts
+++ b/packages/core/src/gateway/kind-position.ts
@@ -42,9 +42,10 @@
 
 	/** Records that the reader has the objects as of `revision`. */
 	take(revision: number): void {
-		const known = revision === this.#reached ? this.#content : revision;
-		// A reading of another watcher may have been reached before, and its content be that watcher's first copy.
-		this.#content = this.#offers.get(revision) ?? known;
+		// Of a reading that is not known the whole time until its revision may hold changes.
+		const unoffered = revision === this.#reached ? this.#content : revision;
+		// A list of another watcher may be as of a revision that was reached before, and name a later change.
+		this.#content = this.#offers.get(revision) ?? unoffered;
 		this.#reached = revision;
 		this.#offers.clear();
 	}
--- a/packages/daemon/src/gateway/peer-link.ts
+++ b/packages/daemon/src/gateway/peer-link.ts
@@ -253,7 +253,7 @@
 				const isRefused = (error as {kind?: string} | undefined)?.kind;
 				return isRefused === 'refused' ? 'not-current' : 'silent';
 			})
-			.chain((message) => this.#readable(message))
+			.chain((message) => this.#read(message))
 			.chain((answer) =>
 				isInContact(answer) ? Right(answer) : Left<PeerFault>('store-fails'),
 			)
@@ -264,7 +264,8 @@
 			);
 	}
 
-	#readable(message: FollowAnswerMessage): Either<PeerFault, PeerAnswer> {
+	/** Reads an answer, and keeps what later ones may be diffs to. */
+	#read(message: FollowAnswerMessage): Either<PeerFault, PeerAnswer> {
 		this.#countContent(message);
 		const answer = readAnswer(message, this.#recent);
 		answer.ifRight(({readings}) => {
