--- a/packages/core/src/gateway/key-loads.ts
+++ b/packages/core/src/gateway/key-loads.ts
@@ -3,7 +3,7 @@
 import {rangesByOwner, type RangeTable} from './key-range.js';
 import {type KeyTraffic} from './key-traffic.js';
 import {type ListedServer} from './listed-server.js';
-import {keysIn, ratedKeysOf, totalRate} from './rated-keys.js';
+import {rateOf, ratedKeysOf} from './rated-keys.js';
 import {runKeyOf} from './server-run.js';
 import {timelyRates} from './timely-rate.js';
 
@@ -25,11 +25,7 @@
 	const byOwner = rangesByOwner(ranges);
 	return new Map(
 		servers.map((server) => {
-			let rate = 0;
-			for (const range of byOwner.get(runKeyOf(server)) ?? []) {
-				rate += totalRate(keysIn(range, keys));
-			}
-
+			const rate = rateOf(byOwner.get(runKeyOf(server)) ?? [], keys);
 			const {backendServer} = server;
 			return [backendServer, rate / capacities.get(backendServer)!];
 		}),
--- a/packages/core/src/gateway/load-plan.ts
+++ b/packages/core/src/gateway/load-plan.ts
@@ -19,7 +19,13 @@
 import {highestOf, isInner, runsOf, runsUpTo, type KeyRun} from './key-run.js';
 import {withoutKeys, type KeyMove} from './key-plan.js';
 import {type KeyTraffic, trafficDecayMs} from './key-traffic.js';
-import {keysIn, ratedKeysOf, totalRate, type RatedKeys} from './rated-keys.js';
+import {
+	keysIn,
+	rateOf,
+	ratedKeysOf,
+	totalRate,
+	type RatedKeys,
+} from './rated-keys.js';
 import {runKeyOf} from './server-run.js';
 import {timelyRates} from './timely-rate.js';
 
@@ -372,10 +378,6 @@
 	keys: RatedKeys,
 	cost: number,
 ): LoadedServer {
-	let rate = 0;
-	for (const range of ranges) {
-		rate += totalRate(keysIn(range, keys));
-	}
-
-	return {server, ranges, cost, load: rate * cost, isHot: false};
+	const load = rateOf(ranges, keys) * cost;
+	return {server, ranges, cost, load, isHot: false};
 }
--- a/packages/core/src/gateway/rated-keys.ts
+++ b/packages/core/src/gateway/rated-keys.ts
@@ -17,6 +17,16 @@
 	);
 }
 
+/** Requests a second for the keys of all of `ranges`. */
+export function rateOf(ranges: readonly KeyRange[], keys: RatedKeys): number {
+	let sum = 0;
+	for (const range of ranges) {
+		sum += totalRate(keysIn(range, keys));
+	}
+
+	return sum;
+}
+
 export function totalRate(keys: RatedKeys): number {
 	let sum = 0;
 	for (const [, rate] of keys) {
--- a/packages/daemon/src/gateway/call-log.ts
+++ b/packages/daemon/src/gateway/call-log.ts
@@ -1,20 +1,23 @@
 /**
  * Logs every few seconds what it has cost this daemon to follow the platform's store: calls
- * to the store by kind of object and call, and what peers have sent, by kind of object.
+ * to the store by kind of object and call, and bytes that peers have sent, by kind of object.
  * Nothing is logged of a time without any.
  */
 import {type Cancel, type Clock, type Millis} from '@kingcuproute/core';
 import {type Log} from '../log/log.js';
-import {type GatewayMetrics} from './gateway-metrics.js';
+import {type FollowingCost, type GatewayMetrics} from './gateway-metrics.js';
 
 const intervalMs: Millis = 5000;
 
+type Counts = ReadonlyMap<string, number>;
+
 export class CallLog {
 	static watch(clock: Clock, log: Log, metrics: GatewayMetrics): CallLog {
 		return new CallLog(clock, log, metrics);
 	}
 
 	readonly #cancel: Cancel;
+	#logged: FollowingCost = {storeCalls: new Map(), peerBytes: new Map()};
 
 	private constructor(
 		clock: Clock,
@@ -22,7 +25,7 @@
 		private readonly metrics: GatewayMetrics,
 	) {
 		this.#cancel = clock.repeat(intervalMs, () => {
-			this.#write();
+			void this.#write();
 		});
 	}
 
@@ -30,8 +33,11 @@
 		this.#cancel();
 	}
 
-	#write(): void {
-		const {storeCalls, peerBytes} = this.metrics.takeRecent();
+	async #write(): Promise<void> {
+		const cost = await this.metrics.followingCost();
+		const storeCalls = added(this.#logged.storeCalls, cost.storeCalls);
+		const peerBytes = added(this.#logged.peerBytes, cost.peerBytes);
+		this.#logged = cost;
 		if (storeCalls.size + peerBytes.size > 0) {
 			this.log.info('store-followed', {
 				storeCalls: textOf(storeCalls),
@@ -41,7 +47,15 @@
 	}
 }
 
-function textOf(counts: ReadonlyMap<string, number>): string {
+/** By how much each count has grown, without those that have not. */
+function added(before: Counts, after: Counts): Counts {
+	const differences = [...after].map(
+		([name, count]) => [name, count - (before.get(name) ?? 0)] as const,
+	);
+	return new Map(differences.filter(([, count]) => count > 0));
+}
+
+function textOf(counts: Counts): string {
 	return [...counts]
 		.sort(([, a], [, b]) => b - a)
 		.map(([name, count]) => `${name}:${count}`)
--- a/packages/daemon/src/gateway/gateway-metrics.ts
+++ b/packages/daemon/src/gateway/gateway-metrics.ts
@@ -16,8 +16,8 @@
 	readonly tookMs: Millis;
 };
 
-/** What following the store has cost since it was last taken. */
-export type RecentCalls = {
+/** What following the store has cost since the start. */
+export type FollowingCost = {
 	/** By kind of object and call. */
 	readonly storeCalls: ReadonlyMap<string, number>;
 	/** Bytes of objects that peers have sent, by kind. */
@@ -33,8 +33,6 @@
 	/** Requests and bytes that are not in the metrics yet. */
 	#ended: EndedRequest[] = [];
 	readonly #movedLens = {own: 0, other: 0};
-	#recentStoreCalls = new Map<string, number>();
-	#recentPeerBytes = new Map<string, number>();
 	readonly #requests = new Counter({
 		name: 'kingcuproute_gateway_requests_total',
 		help: 'Requests that have ended, by service and by outcome or reason of refusal',
@@ -208,24 +206,29 @@
 		call: 'list' | 'list-stale' | 'watch' | 'watch-stale' | 'write' | 'remove',
 	): void {
 		this.#storeCalls.inc({kind, call});
-		add(this.#recentStoreCalls, `${kind}/${call}`, 1);
 	}
 
 	/** Counts the content of objects that a peer has sent. */
 	peerSent(kind: string, len: number): void {
 		this.#peerBytes.inc({kind}, len);
-		add(this.#recentPeerBytes, kind, len);
 	}
 
-	/** The calls and bytes since this was last called. */
-	takeRecent(): RecentCalls {
-		const recent = {
-			storeCalls: this.#recentStoreCalls,
-			peerBytes: this.#recentPeerBytes,
+	async followingCost(): Promise<FollowingCost> {
+		const [calls, bytes] = await Promise.all([
+			this.#storeCalls.get(),
+			this.#peerBytes.get(),
+		]);
+		return {
+			storeCalls: new Map(
+				calls.values.map(({labels: {kind, call}, value}) => [
+					`${kind}/${call}`,
+					value,
+				]),
+			),
+			peerBytes: new Map(
+				bytes.values.map(({labels: {kind}, value}) => [String(kind), value]),
+			),
 		};
-		this.#recentStoreCalls = new Map();
-		this.#recentPeerBytes = new Map();
-		return recent;
 	}
 
 	keyRefused(cause: KeyFault): void {
@@ -281,7 +284,3 @@
 		}
 	}
 }
-
-function add(counts: Map<string, number>, name: string, count: number): void {
-	counts.set(name, (counts.get(name) ?? 0) + count);
-}
--- a/packages/daemon/src/gateway/peer-link.ts
+++ b/packages/daemon/src/gateway/peer-link.ts
@@ -20,7 +20,6 @@
 	type FollowAnswerMessage,
 	type Mesh,
 } from '@kingcuproute/mesh';
-import {type ObjectChange} from '@kingcuproute/platform';
 import {Left, Right, type Either} from 'purify-ts';
 import {type Log} from '../log/log.js';
 import {type GatewayMetrics} from './gateway-metrics.js';
@@ -28,6 +27,7 @@
 import {RecentObjects} from './recent-objects.js';
 import {maxContactAgeMs} from './relay-answers.js';
 import {
+	contentLen,
 	readAnswer,
 	type PeerAnswer,
 	type PeerReading,
@@ -270,7 +270,11 @@
 		const answer = readAnswer(message, this.#recent);
 		answer.ifRight(({readings}) => {
 			for (const {kind, changes} of readings) {
-				this.#record(kind, changes);
+				const present = changes.filter(({removed}) => !removed);
+				this.#recent.record(
+					kind,
+					present.map(({object}) => object),
+				);
 			}
 		});
 		return answer.mapLeft(({message: error}) => {
@@ -281,25 +285,13 @@
 
 	#countContent({readings}: FollowAnswerMessage): void {
 		for (const {kind, changes} of readings ?? []) {
-			let len = 0;
-			for (const {content} of changes ?? []) {
-				len += content?.length ?? 0;
-			}
-
+			const len = contentLen(changes ?? []);
 			if (len > 0) {
 				this.context.metrics.peerSent(kind ?? '', len);
 			}
 		}
 	}
 
-	#record(kind: string, changes: readonly ObjectChange[]): void {
-		for (const {object, removed} of changes) {
-			if (!removed) {
-				this.#recent.record(kind, object);
-			}
-		}
-	}
-
 	/** The peer's calls count as this daemon's own, as of the earliest time at which it can have answered. */
 	#hearOf(
 		{heldMs, contactAgeMs, unbrokenMs, failureAgeMs}: PeerAnswer,
--- a/packages/daemon/src/gateway/recent-objects.ts
+++ b/packages/daemon/src/gateway/recent-objects.ts
@@ -22,11 +22,24 @@
 		);
 	}
 
-	record(kind: string, object: StoredObject): void {
+	record(kind: string, objects: Iterable<StoredObject>): void {
 		if (!hasDiffs(kind)) {
 			return;
 		}
 
+		for (const object of objects) {
+			this.#add(kind, object);
+		}
+	}
+
+	at(kind: string, name: string, revision: number): StoredObject | undefined {
+		return this.#kinds
+			.get(kind)
+			?.get(name)
+			?.find((object) => object.revision === revision);
+	}
+
+	#add(kind: string, object: StoredObject): void {
 		const {name, revision} = object;
 		const names = this.#kinds.get(kind) ?? new Map<string, never>();
 		const known = names.get(name) ?? [];
@@ -40,11 +53,4 @@
 			.slice(-maxRevisions);
 		this.#kinds.set(kind, new Map([...names, [name, revisions]]));
 	}
-
-	at(kind: string, name: string, revision: number): StoredObject | undefined {
-		return this.#kinds
-			.get(kind)
-			?.get(name)
-			?.find((object) => object.revision === revision);
-	}
 }
--- a/packages/daemon/src/gateway/relay-answers.ts
+++ b/packages/daemon/src/gateway/relay-answers.ts
@@ -19,7 +19,7 @@
 import {type StoredObject} from '@kingcuproute/platform';
 import {type KindFollower} from './kind-follower.js';
 import {RecentObjects} from './recent-objects.js';
-import {messageOf} from './relay-messages.js';
+import {contentLen, messageOf} from './relay-messages.js';
 import {type StoreContact} from './store-contact.js';
 
 /** Bounds what peers can make this daemon keep. */
@@ -52,8 +52,9 @@
 
 export class RelayAnswers {
 	readonly #kinds: ReadonlyMap<string, FollowedKind>;
-	/** Called on each change. */
-	readonly #held = new Set<() => void>();
+	/** Questions that wait for news: called on each change. */
+	readonly #waiting = new Set<() => void>();
+	/** The bases of diffs. */
 	readonly #recent = new RecentObjects();
 
 	constructor(private readonly context: AnswersContext) {
@@ -77,11 +78,8 @@
 			if (value && follower.revision !== undefined) {
 				const {changedSince} = follower.reading;
 				history.update(value, follower.revision, changedSince);
-				for (const object of value.values()) {
-					this.#recent.record(kind, object);
-				}
-
-				for (const notify of this.#held) {
+				this.#recent.record(kind, value.values());
+				for (const notify of this.#waiting) {
 					notify();
 				}
 			}
@@ -143,12 +141,12 @@
 		await new Promise<void>((resolve) => {
 			const end = () => {
 				cancel();
-				this.#held.delete(end);
+				this.#waiting.delete(end);
 				resolve();
 			};
 
 			const cancel = clock.after(waitMs, end);
-			this.#held.add(end);
+			this.#waiting.add(end);
 		});
 	}
 
@@ -172,14 +170,10 @@
 		};
 	}
 
-	#read({
-		kind: asked,
-		since: after,
-		urgent,
-		held,
-	}: InterestMessage): KindReadingMessage {
-		const kind = asked ?? '';
-		const since = after ?? 0;
+	#read(interest: InterestMessage): KindReadingMessage {
+		const {urgent, held} = interest;
+		const kind = interest.kind ?? '';
+		const since = interest.since ?? 0;
 		const {follower, history} = this.#kindOf(kind);
 		const head = this.#headOf(kind);
 		if (urgent) {
@@ -202,12 +196,7 @@
 			),
 			...changes.removed.map((removal) => ({...removal, removed: true})),
 		];
-		let len = 0;
-		for (const {content} of messages) {
-			len += content?.length ?? 0;
-		}
-
-		return len > maxChangesLen
+		return contentLen(messages) > maxChangesLen
 			? {...head, standing: relayStanding.EXPIRED}
 			: {
 					...head,
--- a/packages/daemon/src/gateway/relay-messages.ts
+++ b/packages/daemon/src/gateway/relay-messages.ts
@@ -98,6 +98,18 @@
 	return Buffer.from(JSON.stringify({spec, status, rest}));
 }
 
+/** The bytes of the objects in some changes. */
+export function contentLen(
+	changes: ReadonlyArray<Pick<RelayedChangeMessage, 'content'>>,
+): number {
+	let len = 0;
+	for (const {content} of changes) {
+		len += content?.length ?? 0;
+	}
+
+	return len;
+}
+
 /** Reads an answer to a daemon that has `held`; what can't be read makes the whole of it unusable. */
 export function readAnswer(
 	message: FollowAnswerMessage,
--- a/packages/daemon/src/gateway/relayed-reports.ts
+++ b/packages/daemon/src/gateway/relayed-reports.ts
@@ -11,7 +11,6 @@
 	type DaemonReport,
 	type FleetDemand,
 	type KeyTraffic,
-	type MeanRunTime,
 	type Millis,
 	type Random,
 	type ServiceRates,
@@ -40,7 +39,6 @@
 const runTimesMs: Millis = 500;
 
 const noRunTimes: ReadonlyMap<string, Millis> = new Map();
-const noMeans: ReadonlyMap<string, MeanRunTime> = new Map();
 
 /** The way to other daemons. */
 export type ReportChannel = {
@@ -124,7 +122,7 @@
 
 	/** The run times at a service's servers, and how many answers each rests on. */
 	keyRunTimes(service: string): Pick<KeyTraffic, 'runMs' | 'readings'> {
-		const means = [...(this.#means(this.clock.now())?.get(service) ?? noMeans)];
+		const means = [...(this.#means(this.clock.now())?.get(service) ?? [])];
 		return {
 			runMs: new Map(means.map(([server, {runMs}]) => [server, runMs])),
 			readings: new Map(
--- a/packages/daemon/src/gateway/traffic-task.ts
+++ b/packages/daemon/src/gateway/traffic-task.ts
@@ -36,7 +36,7 @@
 const writeShare = 0.1;
 
 /** The run times at this daemon. */
-type RunTimes = Pick<KeyTraffic, 'runMs' | 'readings'>;
+type RunTimes = Required<Pick<KeyTraffic, 'runMs' | 'readings'>>;
 
 @singleton()
 export class TrafficTask extends Task {
@@ -169,7 +169,7 @@
 	return new Map(
 		[...runMs].map(([server, ms]) => [
 			server,
-			{runMs: ms, readings: readings?.get(server) ?? 1},
+			{runMs: ms, readings: readings.get(server)!},
 		]),
 	);
 }
--- a/packages/daemon/test/relay-delays.test.ts
+++ b/packages/daemon/test/relay-delays.test.ts
@@ -3,16 +3,16 @@
 import 'reflect-metadata';
 import test from 'ava';
 import {SeededRandom, type Millis, type Random} from '@kingcuproute/core';
-import {Mesh, type Handler, type MeshError, type Rpc} from '@kingcuproute/mesh';
 import {
 	ObjectStore,
 	type ObjectError,
 	type StoredObject,
 } from '@kingcuproute/platform';
-import {Left, Right, type Either} from 'purify-ts';
+import {Left, Right} from 'purify-ts';
 import {type KindFollower} from '../src/gateway/kind-follower.js';
 import {StoreContact} from '../src/gateway/store-contact.js';
 import {serverReportMs, startReader, startWatcher} from './relayed-reader.js';
+import {SilentMesh} from './silent-mesh.js';
 import {ManualClock} from './timers.js';
 
 /** The least time within which the users' sites ask for a change to be in force. */
@@ -106,50 +106,6 @@
 	}
 }
 
-/** Calls to watchers, of which some do not answer. */
-class SilentMesh extends Mesh {
-	readonly silent = new Set<string>();
-	/** How long each message takes. */
-	delayMs: Millis = 1;
-	/** Handlers are registered for this daemon. */
-	at = '';
-	readonly #handlers = new Map<string, (question: unknown) => unknown>();
-
-	constructor(private readonly clock: ManualClock) {
-		super();
-	}
-
-	override serve<Q, A>({path}: Rpc<Q, A>, handler: Handler<Q, A>): void {
-		this.#handlers.set(`${this.at} ${path}`, handler as () => unknown);
-	}
-
-	override async call<Q, A>(
-		address: string,
-		{path}: Rpc<Q, A>,
-		question: Q,
-		timeoutMs: Millis,
-	): Promise<Either<MeshError, A>> {
-		const handler = this.#handlers.get(`${address} ${path}`)!;
-		const late = async () => {
-			await this.clock.sleep(timeoutMs);
-			return Left<MeshError>({kind: 'unreachable', message: 'late'});
-		};
-
-		const answer = async () => {
-			await this.clock.sleep(this.delayMs);
-			try {
-				const answered = (await handler(question)) as A;
-				await this.clock.sleep(this.delayMs);
-				return this.silent.has(address) ? await late() : Right(answered);
-			} catch (error) {
-				return Left<MeshError>({kind: 'refused', message: String(error)});
-			}
-		};
-
-		return this.silent.has(address) ? late() : Promise.race([answer(), late()]);
-	}
-}
-
 /** Watchers, two in each of two domains, and a reader in the first of these. */
 class RelayedFleet {
 	readonly clock = new ManualClock();
--- a/packages/daemon/test/relay-diffs.test.ts
+++ b/packages/daemon/test/relay-diffs.test.ts
@@ -13,9 +13,7 @@
 } from '@kingcuproute/core';
 import {
 	follow,
-	Mesh,
 	type FollowAnswerMessage,
-	type Handler,
 	type MeshError,
 	type Rpc,
 } from '@kingcuproute/mesh';
@@ -25,11 +23,13 @@
 	rangeTableSpec,
 	type StoredObject,
 } from '@kingcuproute/platform';
-import {Left, Right, type Either} from 'purify-ts';
+import {Right, type Either} from 'purify-ts';
 import {type KindFollower} from '../src/gateway/kind-follower.js';
+import {contentLen} from '../src/gateway/relay-messages.js';
 import {StoreContact} from '../src/gateway/store-contact.js';
 import {listedServer} from './gateway-keepers.js';
 import {serverReportMs, startReader, startWatcher} from './relayed-reader.js';
+import {SilentMesh} from './silent-mesh.js';
 import {ManualClock} from './timers.js';
 
 const stepMs: Millis = 20;
@@ -104,48 +104,26 @@
 }
 
 /** Counts the content that followers of watchers are sent. */
-class CountingMesh extends Mesh {
+class CountingMesh extends SilentMesh {
 	sentLen = 0;
-	readonly silent = new Set<string>();
-	/** Handlers are registered for this daemon. */
-	at = '';
-	readonly #handlers = new Map<string, (question: unknown) => unknown>();
-
-	constructor(private readonly clock: ManualClock) {
-		super();
-	}
-
-	override serve<Q, A>({path}: Rpc<Q, A>, handler: Handler<Q, A>): void {
-		this.#handlers.set(`${this.at} ${path}`, handler as () => unknown);
-	}
 
 	override async call<Q, A>(
 		address: string,
-		{path}: Rpc<Q, A>,
+		rpc: Rpc<Q, A>,
 		question: Q,
 		timeoutMs: Millis,
 	): Promise<Either<MeshError, A>> {
-		await this.clock.sleep(1);
-		if (this.silent.has(address)) {
-			await this.clock.sleep(timeoutMs);
-			return Left<MeshError>({kind: 'unreachable', message: 'silent'});
+		const answer = await super.call(address, rpc, question, timeoutMs);
+		if (rpc.path === follow.path) {
+			answer.ifRight((message) => {
+				const {readings} = message as FollowAnswerMessage;
+				for (const {changes} of readings ?? []) {
+					this.sentLen += contentLen(changes ?? []);
+				}
+			});
 		}
 
-		const handler = this.#handlers.get(`${address} ${path}`)!;
-		const answer = (await handler(question)) as A;
-		if (path === follow.path) {
-			this.#count(answer as FollowAnswerMessage);
-		}
-
-		return Right(answer);
-	}
-
-	#count({readings}: FollowAnswerMessage): void {
-		for (const {changes} of readings ?? []) {
-			for (const {content} of changes ?? []) {
-				this.sentLen += content?.length ?? 0;
-			}
-		}
+		return answer;
 	}
 }
 
--- a/packages/daemon/test/relay-lists.test.ts
+++ b/packages/daemon/test/relay-lists.test.ts
@@ -1,20 +1,13 @@
 /** How often a reader lists a kind of object while its watchers differ in what they remember. */
 import 'reflect-metadata';
 import test from 'ava';
-import {CheckPace, SeededRandom, type Millis} from '@kingcuproute/core';
+import {SeededRandom, type Millis} from '@kingcuproute/core';
 import {ObjectStore} from '@kingcuproute/platform';
-import {pino} from 'pino';
-import {GatewayMetrics} from '../src/gateway/gateway-metrics.js';
-import {KindFollower} from '../src/gateway/kind-follower.js';
 import {PeerReads, type PeerOutcome} from '../src/gateway/peer-reads.js';
-import {RelayedStore} from '../src/gateway/relayed-store.js';
 import {StoreContact} from '../src/gateway/store-contact.js';
-import {LineStream} from '../src/log/line-stream.js';
-import {Log} from '../src/log/log.js';
-import {kind, serverReportMs} from './relayed-reader.js';
+import {readThrough, serverReportMs} from './relayed-reader.js';
 import {ManualClock} from './timers.js';
 
-const outdatedMs: Millis = 3000;
 const callMs: Millis = 10;
 const holdMs: Millis = 400;
 
@@ -82,30 +75,15 @@
 	}
 }
 
-function readThrough(peers: PeerReads, clock: ManualClock): KindFollower {
-	const log = new Log(pino({base: {}}, new LineStream(() => undefined)));
-	const random = new SeededRandom(1);
-	const store = new RelayedStore({
-		store: new UnusedStore(),
-		contact: new StoreContact(clock, {serverReportMs}),
-		clock,
-		random,
-		metrics: new GatewayMetrics(),
-		log,
-		startsStale: true,
-	});
-	store.setPeers(peers);
-	const checkPace = CheckPace.within(outdatedMs);
-	const context = {store, clock, random, log, checkPace};
-	const follower = new KindFollower(kind, context);
-	follower.start();
-	return follower;
-}
-
 test('a reader that changes to a watcher with a shorter history lists once', async (t) => {
 	const clock = new ManualClock();
 	const peers = new PlayedPeers(clock, {revision: 100, content: 5});
-	const follower = readThrough(peers, clock);
+	const follower = readThrough(
+		peers,
+		new UnusedStore(),
+		new StoreContact(clock, {serverReportMs}),
+		{clock, random: new SeededRandom(1)},
+	);
 	await clock.advance(2000);
 	t.is(follower.revision, 100);
 	peers.watcher = {revision: 90, content: 50};
--- a/packages/daemon/test/relayed-reader.ts
+++ b/packages/daemon/test/relayed-reader.ts
@@ -7,6 +7,7 @@
 import {KindFollower} from '../src/gateway/kind-follower.js';
 import {ObservedStore} from '../src/gateway/observed-store.js';
 import {PeerLink} from '../src/gateway/peer-link.js';
+import {type PeerReads} from '../src/gateway/peer-reads.js';
 import {RelayAnswers} from '../src/gateway/relay-answers.js';
 import {RelayedStore} from '../src/gateway/relayed-store.js';
 import {StoreContact} from '../src/gateway/store-contact.js';
@@ -60,23 +61,42 @@
 ): KindFollower {
 	const metrics = new GatewayMetrics();
 	const link = new PeerLink({mesh, contact, clock, random, metrics, log});
-	const relayed = new RelayedStore({
-		store: new ObservedStore(store, metrics, contact),
-		contact,
+	const observed = new ObservedStore(store, metrics, contact);
+	const reader = readThrough(link, observed, contact, {
 		clock,
 		random,
-		metrics,
-		log,
-		startsStale: true,
+		followed,
 	});
-	relayed.setPeers(link);
-	const reader = follow(relayed, {clock, random}, readerGapMs, followed);
 	link.setPeers(
 		watchers.map((vm) => ({vm, failureDomain: vm[0], address: vm})),
 	);
 	return reader;
 }
 
+/** Reads through `peers`, or from `store`. */
+export function readThrough(
+	peers: PeerReads,
+	store: ObjectStore,
+	contact: StoreContact,
+	{
+		clock,
+		random,
+		followed = kind,
+	}: Pick<FleetParts, 'clock' | 'random'> & {readonly followed?: string},
+): KindFollower {
+	const relayed = new RelayedStore({
+		store,
+		contact,
+		clock,
+		random,
+		metrics: new GatewayMetrics(),
+		log,
+		startsStale: true,
+	});
+	relayed.setPeers(peers);
+	return follow(relayed, {clock, random}, readerGapMs, followed);
+}
+
 function follow(
 	store: ObjectStore,
 	{clock, random}: Pick<FleetParts, 'clock' | 'random'>,
